Lay the frame: workspace, base, settings, wire and publication

Cause: nothing existed; several people need agreed headers to work side by side. Ruled out: POCO's ServerSocket constructor (it sets SO_REUSEPORT, so two processes share a port silently; the test of a taken port failed first), POCO's client session as it is (it resends on a closed kept-alive connection), and libjsonrpccpp's client in C++20 (its headers do not parse). Before: no tests.

--- /dev/null
+++ b/modules/publication/internal/publisheditems.cpp
@@ -0,0 +1,165 @@
+// Keeps the published items, their serials and a running digest.
+
+#include "fulmar/publication/publisheditems.h"
+
+#include "fulmar/base/rendezvous.h"
+
+#include <algorithm>
+
+namespace fulmar::publication {
+
+namespace {
+
+/// Removals kept, so that holders that lag can learn of them.
+constexpr std::size_t MaxRemovals = 4096;
+
+std::uint64_t digestOf(const item &Item) {
+  return Item.Value.empty()
+             ? 0
+             : base::digest(Item.Key, base::digest(Item.Value, Item.Serial));
+}
+
+std::uint64_t digestOf(const std::vector<item> &Items) {
+  std::uint64_t Sum = 0;
+  for (const item &Item : Items)
+    Sum += digestOf(Item);
+  return Sum;
+}
+
+} // namespace
+
+void published_items::put(const std::string &Key, std::string Value,
+                          serial Serial) {
+  const auto Found = Items.find(Key);
+  const bool Same =
+      Found == Items.end() ? Value.empty() : Found->second.Value == Value;
+  if (Same)
+    return;
+  store({Key, Serial, std::move(Value)});
+  Latest = std::max(Latest, Serial);
+  forgetOldRemovals();
+}
+
+void published_items::store(item Changed) {
+  item &Held = Items[Changed.Key];
+  Digest -= digestOf(Held);
+  Digest += digestOf(Changed);
+  if (!Held.Key.empty() && Held.Value.empty())
+    --Removals;
+  if (Changed.Value.empty())
+    ++Removals;
+  Held = std::move(Changed);
+}
+
+void published_items::forgetOldRemovals() {
+  if (Removals <= MaxRemovals)
+    return;
+  for (auto Entry = Items.begin(); Entry != Items.end();) {
+    if (!Entry->second.Value.empty()) {
+      ++Entry;
+      continue;
+    }
+    ForgottenUntil = std::max(ForgottenUntil, Entry->second.Serial);
+    Entry = Items.erase(Entry);
+  }
+  Removals = 0;
+}
+
+std::optional<std::string>
+published_items::value(const std::string &Key) const {
+  const auto Found = Items.find(Key);
+  if (Found == Items.end() || Found->second.Value.empty())
+    return std::nullopt;
+  return Found->second.Value;
+}
+
+std::vector<item> published_items::withPrefix(const std::string &Prefix) const {
+  std::vector<item> Matching;
+  for (auto Entry = Items.lower_bound(Prefix);
+       Entry != Items.end() && Entry->first.starts_with(Prefix); ++Entry) {
+    if (!Entry->second.Value.empty())
+      Matching.push_back(Entry->second);
+  }
+  return Matching;
+}
+
+changes published_items::changesSince(serial Known) const {
+  const bool Full = Known > Latest || Known < ForgottenUntil;
+  changes Changes{.Since = Full ? 0 : Known, .Until = Latest, .Digest = Digest};
+  for (const auto &[Key, Item] : Items) {
+    const bool Wanted =
+        Changes.Since == 0 ? !Item.Value.empty() : Item.Serial > Changes.Since;
+    if (Wanted)
+      Changes.Items.push_back(Item);
+  }
+  return Changes;
+}
+
+base::result<void> published_items::merge(const changes &Changes) {
+  if (Changes.Until < Latest)
+    return base::success();
+  if (Changes.Since == 0) {
+    if (digestOf(Changes.Items) != Changes.Digest)
+      return base::fail(base::error_kind::Conflict, "digest does not match");
+    published_items Copy;
+    for (const item &Item : Changes.Items)
+      Copy.store(Item);
+    Copy.Latest = Changes.Until;
+    Copy.ForgottenUntil = Changes.Until;
+    *this = std::move(Copy);
+    return base::success();
+  }
+  if (Changes.Since != Latest)
+    return base::fail(base::error_kind::Conflict,
+                      "changes do not continue from serial " +
+                          std::to_string(Latest));
+  published_items Copy = *this;
+  for (const item &Item : Changes.Items)
+    Copy.store(Item);
+  if (Copy.Digest != Changes.Digest)
+    return base::fail(base::error_kind::Conflict, "digest does not match");
+  Copy.Latest = Changes.Until;
+  Copy.forgetOldRemovals();
+  *this = std::move(Copy);
+  return base::success();
+}
+
+Json::Value toJson(const changes &Changes) {
+  Json::Value Json;
+  Json["since"] = Json::UInt64(Changes.Since);
+  Json["until"] = Json::UInt64(Changes.Until);
+  Json["digest"] = Json::UInt64(Changes.Digest);
+  Json["items"] = Json::Value(Json::arrayValue);
+  for (const item &Item : Changes.Items) {
+    Json::Value Entry;
+    Entry["key"] = Item.Key;
+    Entry["serial"] = Json::UInt64(Item.Serial);
+    Entry["value"] = Item.Value;
+    Json["items"].append(std::move(Entry));
+  }
+  return Json;
+}
+
+base::result<changes> changesFromJson(const Json::Value &Json) {
+  const auto Malformed = [] {
+    return base::fail(base::error_kind::BadRequest, "malformed changes");
+  };
+  if (!Json.isObject() || !Json["since"].isUInt64() ||
+      !Json["until"].isUInt64() || !Json["digest"].isUInt64() ||
+      !Json["items"].isArray())
+    return Malformed();
+  changes Changes{.Since = Json["since"].asUInt64(),
+                  .Until = Json["until"].asUInt64(),
+                  .Digest = Json["digest"].asUInt64()};
+  for (const Json::Value &Entry : Json["items"]) {
+    if (!Entry.isObject() || !Entry["key"].isString() ||
+        !Entry["serial"].isUInt64() || !Entry["value"].isString())
+      return Malformed();
+    Changes.Items.push_back({Entry["key"].asString(),
+                             Entry["serial"].asUInt64(),
+                             Entry["value"].asString()});
+  }
+  return Changes;
+}
+
+} // namespace fulmar::publication
--- /dev/null
+++ b/modules/publication/tests/publisheditems_tests.cpp
@@ -0,0 +1,84 @@
+// Differential tests of the published items: a holder that merges changes at
+// random moments ends with the same items as a plain map of the last values.
+
+#include "fulmar/publication/publisheditems.h"
+#include "fulmar/testing/property.h"
+
+#include <map>
+
+using namespace fulmar::publication;
+
+namespace {
+
+using plain_map = std::map<std::string, std::string>;
+
+plain_map contents(const published_items &Items) {
+  plain_map Map;
+  for (const item &Item : Items.withPrefix(""))
+    Map[Item.Key] = Item.Value;
+  return Map;
+}
+
+} // namespace
+
+TEST_GROUP(PublishedItems){};
+
+TEST(PublishedItems, aHolderConvergesToThePlainMap) {
+  fulmar::testing::checkProperty("holder equals plain map", [] {
+    published_items Source;
+    published_items Holder;
+    plain_map Plain;
+    const auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+    serial Serial = 0;
+    for (const auto &[Key, Value] : Steps) {
+      const std::string Name = "section/" + std::to_string(Key);
+      const std::string Text = Value == 0 ? "" : std::to_string(Value);
+      Source.put(Name, Text, ++Serial);
+      if (Text.empty())
+        Plain.erase(Name);
+      else
+        Plain[Name] = Text;
+      if (*rc::gen::inRange(0, 3) == 0)
+        RC_ASSERT(
+            Holder.merge(Source.changesSince(Holder.latest())).has_value());
+    }
+    RC_ASSERT(Holder.merge(Source.changesSince(Holder.latest())).has_value());
+    RC_ASSERT(contents(Holder) == Plain);
+    RC_ASSERT(contents(Source) == Plain);
+    RC_ASSERT(Holder.digest() == Source.digest());
+  });
+}
+
+TEST(PublishedItems, aDamagedChangeIsRefusedAndAFullCopyRepairs) {
+  published_items Source;
+  published_items Holder;
+  Source.put("section/a", "1", 1);
+  CHECK(Holder.merge(Source.changesSince(0)).has_value());
+  Source.put("section/b", "2", 2);
+  changes Damaged = Source.changesSince(Holder.latest());
+  Damaged.Items.front().Value = "3";
+  CHECK(!Holder.merge(Damaged).has_value());
+  CHECK(!Holder.value("section/b").has_value());
+  CHECK(Holder.merge(Source.changesSince(0)).has_value());
+  CHECK(Holder.digest() == Source.digest());
+}
+
+TEST(PublishedItems, olderChangesNeverRevert) {
+  published_items Source;
+  published_items Holder;
+  Source.put("section/a", "1", 1);
+  const changes Old = Source.changesSince(0);
+  Source.put("section/a", "2", 2);
+  CHECK(Holder.merge(Source.changesSince(0)).has_value());
+  CHECK(Holder.merge(Old).has_value());
+  STRCMP_EQUAL("2", Holder.value("section/a")->c_str());
+}
+
+TEST(PublishedItems, jsonRoundTrip) {
+  published_items Source;
+  Source.put("section/a", "{\"x\":1}", 7);
+  const changes Changes = Source.changesSince(0);
+  CHECK(changesFromJson(toJson(Changes)).value() == Changes);
+  CHECK(!changesFromJson(Json::Value("text")).has_value());
+}
