--- /dev/null
+++ b/modules/claims/include/fulmar/claims/claimtable.h
@@ -0,0 +1,111 @@
+// The claims on idempotency keys, as a deterministic table. A key is granted
+// to one holder at a time and, unless that holder proves that nothing ran, to
+// no other one until its retention has passed.
+
+#ifndef FULMAR_CLAIMS_CLAIMTABLE_H
+#define FULMAR_CLAIMS_CLAIMTABLE_H
+
+#include "fulmar/claims/iclaimkeeper.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace fulmar::claims {
+
+struct claim_limits {
+  /// Time for which a settled claim is kept, counted from its settlement.
+  std::int64_t RetentionMs = 86'400'000;
+  std::size_t MaxCount = 200'000;
+  std::size_t MaxBytes = std::size_t{256} << 20;
+  /// A longer answer is not recorded: its outcome becomes unknown.
+  std::size_t MaxAnswerBytes = std::size_t{64} << 10;
+};
+
+inline constexpr std::size_t MaxKeyBytes = 256;
+/// A freed key remembers its last holder for this long, so that a delayed
+/// duplicate of that holder's claim is not granted.
+inline constexpr std::int64_t FreedRetentionMs = 60'000;
+
+/// Times are milliseconds of the replicated clock.
+class claim_table {
+public:
+  explicit claim_table(const claim_limits &Initial = {}) : Limits(Initial) {}
+
+  /// Applies to claims that are made or settled from now on.
+  void setLimits(const claim_limits &NewLimits) { Limits = NewLimits; }
+
+  /// Fails with ClaimMismatch for other content under the same key, Saturated
+  /// when the table is full, Conflict when the holder already gave the key up,
+  /// and BadRequest for an empty or long key.
+  base::result<claim_answer> claim(const claim_request &Request,
+                                   std::int64_t NowMs);
+  /// Fails with Conflict, changing nothing, when \p Request's holder does not
+  /// hold the claim any more.
+  base::result<void> settle(const claim_request &Request, claim_end End,
+                            const std::optional<recorded_answer> &Answer,
+                            std::int64_t NowMs);
+  /// The outcome of every unsettled claim of holders whose name begins with
+  /// \p HolderPrefix becomes unknown.
+  void loseHolders(const std::string &HolderPrefix, std::int64_t NowMs);
+  /// Drops settled claims whose retention has passed.
+  void advance(std::int64_t NowMs);
+
+  [[nodiscard]] std::size_t count() const { return Claims.size(); }
+  [[nodiscard]] std::size_t bytes() const { return Bytes; }
+  [[nodiscard]] std::size_t unsettled() const { return Unsettled.size(); }
+
+  [[nodiscard]] std::string encode() const;
+  /// Replaces the claims, not the limits. Fails with BadRequest, changing
+  /// nothing, on malformed bytes.
+  base::result<void> decode(std::string_view Encoded);
+
+private:
+  enum class stage : std::uint8_t { Held, Recorded, Unknown, Freed };
+  using full_key = std::pair<std::string, std::string>;
+  struct record {
+    std::uint64_t ContentDigest = 0;
+    std::string Holder;
+    stage Stage = stage::Held;
+    std::optional<recorded_answer> Answer;
+    /// Meaningless while held: a held claim does not expire.
+    std::int64_t ExpiresMs = 0;
+  };
+  using record_map = std::map<full_key, record>;
+
+  friend auto fieldsOf(record &Item) {
+    return std::tie(Item.ContentDigest, Item.Holder, Item.Stage, Item.Answer,
+                    Item.ExpiresMs);
+  }
+  friend constexpr stage lastOf(stage /*Kind*/) { return stage::Freed; }
+
+  static std::size_t bytesOf(const record_map::value_type &Entry);
+  static claim_answer answerOf(const record &Record, const std::string &Holder);
+  base::result<claim_answer> grant(const full_key &Key,
+                                   const claim_request &Request);
+  void finish(record_map::iterator Entry, stage Stage,
+              const std::optional<recorded_answer> &Answer,
+              std::int64_t ExpiresMs);
+  void insertIndexes(const record_map::value_type &Entry);
+  void erase(record_map::iterator Entry);
+
+  claim_limits Limits;
+  record_map Claims;
+  /// Holder and key of every held claim.
+  std::set<std::pair<std::string, full_key>> Unsettled;
+  /// Expiry and key of every claim that is not held.
+  std::set<std::pair<std::int64_t, full_key>> Expiries;
+  /// Sum of bytesOf() over all claims.
+  std::size_t Bytes = 0;
+};
+
+} // namespace fulmar::claims
+
+#endif // FULMAR_CLAIMS_CLAIMTABLE_H
--- /dev/null
+++ b/modules/claims/include/fulmar/claims/packing.h
@@ -0,0 +1,145 @@
+// msgpack encoding of plain structs and closed enumerations. A struct takes
+// part by a function fieldsOf() that ties its members, an enumeration by a
+// function lastOf() that names its greatest value; both are found by argument
+// dependent lookup. Decoding is strict: another count of fields, another type
+// or an unknown enumerator throws msgpack::type_error.
+
+#ifndef FULMAR_CLAIMS_PACKING_H
+#define FULMAR_CLAIMS_PACKING_H
+
+#include "fulmar/base/identifier.h"
+#include "fulmar/base/result.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace fulmar::claims {
+
+template <typename Value>
+concept has_fields = requires(Value &Item) {
+  fieldsOf(Item);
+};
+
+template <typename Value>
+concept closed_enum = std::is_enum_v<Value> && requires(Value Item) {
+  lastOf(Item);
+};
+
+/// The members of a struct that is only read.
+template <has_fields Value> auto constFieldsOf(const Value &Item) {
+  // Packing reads through the references only.
+  return fieldsOf(const_cast<Value &>(Item));
+}
+
+} // namespace fulmar::claims
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  template <typename Value>
+  struct convert<Value, std::enable_if_t<fulmar::claims::has_fields<Value>>> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      Value &To) const {
+      auto Fields = fieldsOf(To);
+      if (From.type != msgpack::type::ARRAY ||
+          From.via.array.size != std::tuple_size_v<decltype(Fields)>)
+        throw msgpack::type_error();
+      const msgpack::object *Next = From.via.array.ptr;
+      std::apply([&](auto &...Field) { ((Next++)->convert(Field), ...); },
+                 Fields);
+      return From;
+    }
+  };
+
+  template <typename Value>
+  struct pack<Value, std::enable_if_t<fulmar::claims::has_fields<Value>>> {
+    template <typename Stream>
+    msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &To,
+                                        const Value &From) const {
+      const auto Fields = fulmar::claims::constFieldsOf(From);
+      To.pack_array(
+          static_cast<std::uint32_t>(std::tuple_size_v<decltype(Fields)>));
+      std::apply([&](const auto &...Field) { (To.pack(Field), ...); }, Fields);
+      return To;
+    }
+  };
+
+  template <typename Value>
+  struct convert<Value, std::enable_if_t<fulmar::claims::closed_enum<Value>>> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      Value &To) const {
+      const auto Number = From.as<std::uint8_t>();
+      if (Number > static_cast<std::uint8_t>(lastOf(Value())))
+        throw msgpack::type_error();
+      To = static_cast<Value>(Number);
+      return From;
+    }
+  };
+
+  template <typename Value>
+  struct pack<Value, std::enable_if_t<fulmar::claims::closed_enum<Value>>> {
+    template <typename Stream>
+    msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &To,
+                                        const Value &From) const {
+      return To.pack(static_cast<std::uint8_t>(From));
+    }
+  };
+
+  template <typename Tag> struct convert<fulmar::base::identifier<Tag>> {
+    const msgpack::object &operator()(const msgpack::object &From,
+                                      fulmar::base::identifier<Tag> &To) const {
+      To = fulmar::base::identifier<Tag>(From.as<std::string>());
+      return From;
+    }
+  };
+
+  template <typename Tag> struct pack<fulmar::base::identifier<Tag>> {
+    template <typename Stream>
+    msgpack::packer<Stream> &
+    operator()(msgpack::packer<Stream> &To,
+               const fulmar::base::identifier<Tag> &From) const {
+      return To.pack(From.str());
+    }
+  };
+
+  } // namespace adaptor
+}
+} // namespace msgpack
+
+namespace fulmar::claims {
+
+template <typename Value> std::string packValue(const Value &Item) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Item);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// Fails with BadRequest on malformed bytes, whatever they are.
+template <typename Value>
+base::result<Value> unpackValue(std::string_view Bytes) {
+  try {
+    std::size_t Offset = 0;
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size(), Offset);
+    if (Offset != Bytes.size())
+      return base::fail(base::error_kind::BadRequest, "trailing bytes");
+    Value Item{};
+    Handle.get().convert(Item);
+    return Item;
+  } catch (const std::exception &Fault) {
+    return base::fail(base::error_kind::BadRequest,
+                      std::string("malformed bytes: ") + Fault.what());
+  }
+}
+
+} // namespace fulmar::claims
+
+#endif // FULMAR_CLAIMS_PACKING_H
--- /dev/null
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -0,0 +1,101 @@
+// The replicated state: the document with its history, data centres, members,
+// claims and crash reports. Deterministic: time is carried by the commands.
+
+#ifndef FULMAR_CONTROLSTATE_CONTROLSTATE_H
+#define FULMAR_CONTROLSTATE_CONTROLSTATE_H
+
+#include "fulmar/claims/claimtable.h"
+#include "fulmar/consensus/istatemachine.h"
+#include "fulmar/controlstate/commands.h"
+#include "fulmar/controlstate/crashtable.h"
+#include "fulmar/controlstate/datacentretable.h"
+#include "fulmar/controlstate/editlog.h"
+#include "fulmar/controlstate/membertable.h"
+#include "fulmar/controlstate/replies.h"
+#include "fulmar/document/controlpolicy.h"
+#include "fulmar/publication/publisheditems.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace fulmar::controlstate {
+
+/// The replicated clock advances by at most this much a command, so that one
+/// leader's stepped clock can't end every retention at once.
+inline constexpr std::int64_t MaxClockStepMs = 60'000;
+
+/// Not thread-safe: owned by the task that drives the log.
+class control_state final : public consensus::istate_machine {
+public:
+  std::string apply(consensus::log_index Index,
+                    std::string_view Command) override;
+  [[nodiscard]] std::string snapshot() const override;
+  base::result<void> restore(std::string_view Snapshot) override;
+
+  /// As apply(), on decoded values.
+  reply applyCommand(consensus::log_index Index, const command &Command);
+
+  [[nodiscard]] const edit_log &edits() const { return Edits; }
+  [[nodiscard]] const data_centre_table &dataCentres() const {
+    return DataCentres;
+  }
+  [[nodiscard]] const member_table &members() const { return Members; }
+  [[nodiscard]] const publication::published_items &published() const {
+    return Published;
+  }
+  [[nodiscard]] const document::control_policy &policy() const {
+    return Policy;
+  }
+  [[nodiscard]] std::int64_t nowMs() const { return NowMs; }
+
+  /// Hashes a token for an edit or for an operation on a data centre, see
+  /// token_proof. \p AdministratorHash comes from the leader's settings.
+  [[nodiscard]] token_proof
+  proveEdit(const std::string &Section, const std::string &Content,
+            std::string_view Token, const std::string &AdministratorHash) const;
+  [[nodiscard]] token_proof proveDataCentre(const std::string &Name,
+                                            std::string_view Token) const;
+
+private:
+  reply applyBody(const edit_command &Edit);
+  reply applyBody(const data_centre_command &Operation);
+  reply applyBody(const member_command &Join);
+  reply applyBody(const expire_command &Expiry);
+  reply applyBody(const claim_command &Claim);
+  reply applyBody(const settle_command &Settle);
+  reply applyBody(const crash_command &Crash);
+  reply applyBody(const advance_command &Advance);
+
+  void advanceClock(std::int64_t WallMs);
+  void readPolicy();
+
+  void publishSection(const std::string &Section);
+  void publishDataCentre(const std::string &Name);
+  void publishMember(const std::string &Id);
+  void publishQuarantines();
+
+  /// Hash of a team's token in force; empty when there is no such team.
+  [[nodiscard]] std::string hashOf(const std::string &Team) const;
+  [[nodiscard]] bool ownsHash(const std::string &Team,
+                              const token_proof &Proof) const;
+  [[nodiscard]] bool mayEdit(const edit_command &Edit) const;
+
+  /// Log index of the command being applied, or of the last one.
+  consensus::log_index Index = 0;
+  /// The replicated clock; never goes back.
+  std::int64_t NowMs = 0;
+  edit_log Edits;
+  data_centre_table DataCentres;
+  member_table Members;
+  claims::claim_table Claims;
+  crash_table Crashes;
+  /// Always equal to what the tables above hold.
+  publication::published_items Published;
+  /// The section policy.control in force, or the defaults.
+  document::control_policy Policy;
+};
+
+} // namespace fulmar::controlstate
+
+#endif // FULMAR_CONTROLSTATE_CONTROLSTATE_H
--- /dev/null
+++ b/modules/controlstate/include/fulmar/controlstate/datacentretable.h
@@ -0,0 +1,68 @@
+// Which data centres are in service. Operations carry an id that is remembered
+// for ever: a late duplicate gets its first answer and changes nothing.
+
+#ifndef FULMAR_CONTROLSTATE_DATACENTRETABLE_H
+#define FULMAR_CONTROLSTATE_DATACENTRETABLE_H
+
+#include "fulmar/controlstate/commands.h"
+#include "fulmar/controlstate/replies.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmar::controlstate {
+
+/// The state of one data centre.
+struct data_centre_state {
+  bool In = true;
+  /// Log index of the last change.
+  std::uint64_t Serial = 0;
+  std::string Author;
+  std::string Operation;
+
+  friend auto operator<=>(const data_centre_state &,
+                          const data_centre_state &) = default;
+};
+
+class data_centre_table {
+public:
+  /// The first answer of an operation that was applied before; Conflict when
+  /// its id belongs to another operation. Empty for a new id.
+  [[nodiscard]] std::optional<base::result<data_centre_reply>>
+  answerOf(const data_centre_command &Operation) const;
+  data_centre_reply apply(std::uint64_t Serial,
+                          const data_centre_command &Operation);
+
+  /// A data centre that no operation ever named is in service.
+  [[nodiscard]] data_centre_state stateOf(const std::string &Name) const;
+  /// Data centres that an operation has named.
+  [[nodiscard]] const std::map<std::string, data_centre_state> &states() const {
+    return States;
+  }
+  [[nodiscard]] std::size_t operations() const { return Operations.size(); }
+
+  [[nodiscard]] std::string encode() const;
+  base::result<void> decode(std::string_view Encoded);
+
+private:
+  struct operation {
+    std::string Name;
+    data_centre_action Action = data_centre_action::Leave;
+    std::uint64_t Serial = 0;
+  };
+  friend auto fieldsOf(operation &Item) {
+    return std::tie(Item.Name, Item.Action, Item.Serial);
+  }
+
+  std::map<std::string, data_centre_state> States;
+  std::map<std::string, operation> Operations;
+};
+
+} // namespace fulmar::controlstate
+
+#endif // FULMAR_CONTROLSTATE_DATACENTRETABLE_H
--- /dev/null
+++ b/modules/controlstate/internal/commandpacking.h
@@ -0,0 +1,44 @@
+// Encoding of the types of commands.h.
+
+#ifndef FULMAR_CONTROLSTATE_COMMANDPACKING_H
+#define FULMAR_CONTROLSTATE_COMMANDPACKING_H
+
+#include "fulmar/claims/claimpacking.h"
+#include "fulmar/controlstate/commands.h"
+
+namespace fulmar::controlstate {
+
+inline auto fieldsOf(token_proof &Item) {
+  return std::tie(Item.Administrator, Item.Hash);
+}
+inline auto fieldsOf(edit_command &Item) {
+  return std::tie(Item.Author, Item.Section, Item.Number, Item.Content,
+                  Item.Proof);
+}
+inline auto fieldsOf(data_centre_command &Item) {
+  return std::tie(Item.Operation, Item.Name, Item.Action, Item.Author,
+                  Item.Proof);
+}
+inline auto fieldsOf(member_report &Item) {
+  return std::tie(Item.Id, Item.Incarnation, Item.DataCentre, Item.Address,
+                  Item.RpcAddress, Item.Stopping);
+}
+inline auto fieldsOf(member_command &Item) { return std::tie(Item.Report); }
+inline auto fieldsOf(expire_command &Item) {
+  return std::tie(Item.Id, Item.Incarnation);
+}
+inline auto fieldsOf(claim_command &Item) { return std::tie(Item.Request); }
+inline auto fieldsOf(settle_command &Item) {
+  return std::tie(Item.Request, Item.End, Item.Answer);
+}
+inline auto fieldsOf(crash_command &Item) {
+  return std::tie(Item.Fingerprint, Item.Target, Item.Incarnation);
+}
+inline auto fieldsOf(advance_command & /*Item*/) { return std::tie(); }
+constexpr data_centre_action lastOf(data_centre_action /*Kind*/) {
+  return data_centre_action::Return;
+}
+
+} // namespace fulmar::controlstate
+
+#endif // FULMAR_CONTROLSTATE_COMMANDPACKING_H
--- /dev/null
+++ b/modules/controlstate/internal/commands.cpp
@@ -0,0 +1,20 @@
+// Encodes and decodes commands.
+
+#include "fulmar/controlstate/commands.h"
+
+#include "commandpacking.h"
+#include "variantpacking.h"
+
+namespace fulmar::controlstate {
+
+static auto fieldsOf(command &Item) { return std::tie(Item.WallMs, Item.Body); }
+
+std::string encodeCommand(const command &Command) {
+  return claims::packValue(Command);
+}
+
+base::result<command> decodeCommand(std::string_view Bytes) {
+  return claims::unpackValue<command>(Bytes);
+}
+
+} // namespace fulmar::controlstate
--- /dev/null
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -0,0 +1,179 @@
+// Applies commands to the tables of the state.
+
+#include "fulmar/controlstate/controlstate.h"
+
+#include "fulmar/claims/holder.h"
+#include "fulmar/document/token.h"
+
+#include <algorithm>
+
+namespace fulmar::controlstate {
+
+namespace {
+
+constexpr std::size_t MaxAuthorBytes = 128;
+constexpr std::size_t MaxOperationBytes = 128;
+
+claims::claim_limits limitsOf(const document::control_policy &Policy) {
+  constexpr std::size_t Kilobyte = 1024;
+  const auto Bytes = [](std::int64_t Kilobytes) {
+    return static_cast<std::size_t>(Kilobytes) * Kilobyte;
+  };
+  return {.RetentionMs = Policy.ClaimRetention.count(),
+          .MaxCount = static_cast<std::size_t>(Policy.ClaimMaxCount),
+          .MaxBytes = Bytes(Policy.ClaimMaxKilobytes),
+          .MaxAnswerBytes = Bytes(Policy.ClaimMaxAnswerKilobytes)};
+}
+
+crash_rules rulesOf(const document::control_policy &Policy) {
+  return {.WindowMs = Policy.CrashWindow.count(),
+          .QuarantineMs = Policy.Quarantine.count(),
+          .SickTargetRequests =
+              static_cast<std::size_t>(Policy.SickTargetRequests)};
+}
+
+reply failed(base::error_kind Kind, std::string Message) {
+  return failed_reply{{Kind, std::move(Message)}};
+}
+
+edit_reply refusedEdit(std::string Message) {
+  return {.Outcome = edit_outcome::Refused, .Message = std::move(Message)};
+}
+
+} // namespace
+
+std::string control_state::apply(consensus::log_index Position,
+                                 std::string_view Command) {
+  const auto Decoded = decodeCommand(Command);
+  if (!Decoded)
+    return encodeReply(failed_reply{Decoded.error()});
+  return encodeReply(applyCommand(Position, Decoded.value()));
+}
+
+reply control_state::applyCommand(consensus::log_index Position,
+                                  const command &Command) {
+  Index = Position;
+  advanceClock(Command.WallMs);
+  return std::visit([this](const auto &Body) { return applyBody(Body); },
+                    Command.Body);
+}
+
+void control_state::advanceClock(std::int64_t WallMs) {
+  if (NowMs == 0)
+    NowMs = WallMs;
+  NowMs = std::clamp(WallMs, NowMs, NowMs + MaxClockStepMs);
+  Claims.advance(NowMs);
+  Crashes.advance(NowMs, rulesOf(Policy));
+  publishQuarantines();
+}
+
+reply control_state::applyBody(const edit_command &Edit) {
+  if (Edit.Author.empty() || Edit.Author.size() > MaxAuthorBytes)
+    return refusedEdit("the author must have 1 to " +
+                       std::to_string(MaxAuthorBytes) + " characters");
+  if (const auto Answer = Edits.answerByNumber(Edit))
+    return *Answer;
+  if (!mayEdit(Edit))
+    return failed(base::error_kind::Unauthorized,
+                  "the token is not that of the section's owner");
+  const edit_reply Reply = Edits.accept(Index, Edit);
+  if (Reply.Outcome == edit_outcome::Accepted)
+    publishSection(Edit.Section);
+  return Reply;
+}
+
+reply control_state::applyBody(const data_centre_command &Operation) {
+  if (Operation.Operation.empty() ||
+      Operation.Operation.size() > MaxOperationBytes)
+    return failed(base::error_kind::BadRequest,
+                  "the operation's id must have 1 to " +
+                      std::to_string(MaxOperationBytes) + " characters");
+  if (const auto Answer = DataCentres.answerOf(Operation)) {
+    if (!*Answer)
+      return failed_reply{Answer->error()};
+    return Answer->value();
+  }
+  const std::string Section =
+      std::string(document::DataCentrePrefix) + Operation.Name;
+  if (Edits.inForce().find(Section) == nullptr)
+    return failed(base::error_kind::NotFound,
+                  "the document has no section " + Section);
+  if (!ownsHash(Edits.inForce().ownerOf(Section), Operation.Proof))
+    return failed(base::error_kind::Unauthorized,
+                  "the token is not that of the data centre's owner");
+  const data_centre_reply Reply = DataCentres.apply(Index, Operation);
+  publishDataCentre(Operation.Name);
+  return Reply;
+}
+
+reply control_state::applyBody(const member_command &Join) {
+  const member_report &Report = Join.Report;
+  const bool Named = !Report.Id.empty() && !Report.Incarnation.empty() &&
+                     Report.Id.find('/') == std::string::npos;
+  if (!Named)
+    return failed(base::error_kind::BadRequest,
+                  "a member needs an id without '/' and an incarnation");
+  const std::string Replaced = Members.join(Report);
+  if (!Replaced.empty())
+    Claims.loseHolders(claims::holderPrefix(Report.Id, Replaced), NowMs);
+  publishMember(Report.Id);
+  return member_reply{.Epoch = Members.epoch()};
+}
+
+reply control_state::applyBody(const expire_command &Expiry) {
+  if (Members.expire(Expiry.Id, Expiry.Incarnation)) {
+    Claims.loseHolders(claims::holderPrefix(Expiry.Id, Expiry.Incarnation),
+                       NowMs);
+    publishMember(Expiry.Id);
+  }
+  return member_reply{.Epoch = Members.epoch()};
+}
+
+reply control_state::applyBody(const claim_command &Claim) {
+  const auto Holder = claims::parseHolder(Claim.Request.Holder);
+  if (!Holder)
+    return failed(base::error_kind::BadRequest,
+                  "the holder is not INSTANCE/INCARNATION/COUNT");
+  if (!Members.contains(Holder->Instance, Holder->Incarnation))
+    return failed(base::error_kind::StaleKnowledge,
+                  "the claim's holder is no live member");
+  const auto Answer = Claims.claim(Claim.Request, NowMs);
+  if (!Answer)
+    return failed_reply{Answer.error()};
+  return claim_reply{.Answer = Answer.value()};
+}
+
+reply control_state::applyBody(const settle_command &Settle) {
+  const auto Settled =
+      Claims.settle(Settle.Request, Settle.End, Settle.Answer, NowMs);
+  if (!Settled)
+    return failed_reply{Settled.error()};
+  return done_reply{};
+}
+
+reply control_state::applyBody(const crash_command &Crash) {
+  if (Crash.Fingerprint.empty() || Crash.Target.empty())
+    return failed(base::error_kind::BadRequest,
+                  "a crash report needs a fingerprint and a target");
+  const crash_reply Reply = Crashes.report(Crash, NowMs, rulesOf(Policy));
+  publishQuarantines();
+  return Reply;
+}
+
+reply control_state::applyBody(const advance_command & /*Advance*/) {
+  return done_reply{};
+}
+
+void control_state::readPolicy() {
+  const std::string *Content =
+      Edits.inForce().find(std::string(document::ControlPolicySection));
+  Policy = document::control_policy();
+  if (Content != nullptr) {
+    // The edit passed the same checks; a failure can't occur.
+    if (const auto Parsed = document::parseControlPolicy(*Content))
+      Policy = Parsed.value();
+  }
+  Claims.setLimits(limitsOf(Policy));
+}
+
+} // namespace fulmar::controlstate
--- /dev/null
+++ b/modules/controlstate/internal/editlog.cpp
@@ -0,0 +1,149 @@
+// Accepts edits and answers for their history.
+
+#include "fulmar/controlstate/editlog.h"
+
+#include "fulmar/claims/packing.h"
+
+#include <algorithm>
+
+namespace fulmar::controlstate {
+
+static auto fieldsOf(edit_record &Item) {
+  return std::tie(Item.Revision, Item.Serial, Item.Section, Item.Number,
+                  Item.Author, Item.Content);
+}
+
+namespace {
+
+edit_reply firstAnswer(const edit_record &Record) {
+  return {.Outcome = edit_outcome::Accepted,
+          .Revision = Record.Revision,
+          .Serial = Record.Serial,
+          .InForceNumber = Record.Number};
+}
+
+} // namespace
+
+std::optional<edit_reply>
+edit_log::answerByNumber(const edit_command &Edit) const {
+  const std::uint64_t Current = numberOf(Edit.Section);
+  const std::string Next = std::to_string(Current + 1);
+  if (Edit.Number == Current + 1)
+    return std::nullopt;
+  if (Edit.Number > Current || Edit.Number == 0)
+    return edit_reply{.Outcome = edit_outcome::Refused,
+                      .Revision = revision(),
+                      .Message = "the next number of " + Edit.Section + " is " +
+                                 Next + ", not " + std::to_string(Edit.Number),
+                      .InForceNumber = Current};
+  const std::vector<std::uint64_t> &Revisions = RevisionsOf.at(Edit.Section);
+  const edit_record &Taken = Records[Revisions[Edit.Number - 1] - 1];
+  if (Taken.Author == Edit.Author && Taken.Content == Edit.Content) {
+    edit_reply First = firstAnswer(Taken);
+    First.Repeated = true;
+    return First;
+  }
+  const edit_record &InForceNow = Records[Revisions.back() - 1];
+  return edit_reply{
+      .Outcome = edit_outcome::Conflict,
+      .Revision = revision(),
+      .Message = "number " + std::to_string(Edit.Number) + " of " +
+                 Edit.Section + " was taken by " + Taken.Author +
+                 "; look at what is in force and edit again as number " + Next,
+      .InForceNumber = Current,
+      .InForceContent = InForceNow.Content,
+      .InForceAuthor = InForceNow.Author};
+}
+
+edit_reply edit_log::accept(std::uint64_t Serial, const edit_command &Edit) {
+  const document::fault_list Faults =
+      InForce.checkEdit(Edit.Section, Edit.Content);
+  if (!Faults.empty())
+    return {.Outcome = edit_outcome::Refused,
+            .Revision = revision(),
+            .Message = document::toText(Faults),
+            .InForceNumber = numberOf(Edit.Section)};
+  append({.Revision = revision() + 1,
+          .Serial = Serial,
+          .Section = Edit.Section,
+          .Number = Edit.Number,
+          .Author = Edit.Author,
+          .Content = Edit.Content});
+  return firstAnswer(Records.back());
+}
+
+void edit_log::append(edit_record Record) {
+  InForce.put(Record.Section, Record.Content);
+  RevisionsOf[Record.Section].push_back(Record.Revision);
+  Records.push_back(std::move(Record));
+}
+
+std::uint64_t edit_log::numberOf(const std::string &Section) const {
+  const auto Found = RevisionsOf.find(Section);
+  return Found == RevisionsOf.end() ? 0 : Found->second.size();
+}
+
+const edit_record *edit_log::recordAt(const std::string &Section,
+                                      std::uint64_t Revision) const {
+  const auto Found = RevisionsOf.find(Section);
+  if (Found == RevisionsOf.end())
+    return nullptr;
+  const auto After =
+      std::upper_bound(Found->second.begin(), Found->second.end(), Revision);
+  return After == Found->second.begin() ? nullptr : &Records[*(After - 1) - 1];
+}
+
+base::result<std::string> edit_log::show(const std::string &Section,
+                                         std::uint64_t Revision) const {
+  const edit_record *Record = recordAt(Section, Revision);
+  if (Record == nullptr || Record->Content.empty())
+    return base::fail(base::error_kind::NotFound, "no section " + Section +
+                                                      " at revision " +
+                                                      std::to_string(Revision));
+  return Record->Content;
+}
+
+base::result<std::string> edit_log::showAll(std::uint64_t Revision) const {
+  if (Revision > revision())
+    return base::fail(base::error_kind::NotFound,
+                      "no revision " + std::to_string(Revision) +
+                          "; the last one is " + std::to_string(revision()));
+  document::document Then;
+  for (const auto &[Section, Revisions] : RevisionsOf) {
+    const edit_record *Record = recordAt(Section, Revision);
+    if (Record != nullptr)
+      Then.put(Section, Record->Content);
+  }
+  return Then.text();
+}
+
+std::vector<edit_record> edit_log::history(const std::string &Section,
+                                           std::size_t Limit) const {
+  std::vector<edit_record> Newest;
+  for (auto Record = Records.rbegin();
+       Record != Records.rend() && Newest.size() < Limit; ++Record) {
+    if (Section.empty() || Record->Section == Section)
+      Newest.push_back(*Record);
+  }
+  return Newest;
+}
+
+std::string edit_log::encode() const { return claims::packValue(Records); }
+
+base::result<void> edit_log::decode(std::string_view Encoded) {
+  BOOST_OUTCOME_TRY(Decoded,
+                    claims::unpackValue<std::vector<edit_record>>(Encoded));
+  edit_log Restored;
+  for (edit_record &Record : Decoded) {
+    const bool InOrder = Record.Revision == Restored.revision() + 1 &&
+                         Record.Number == Restored.numberOf(Record.Section) + 1;
+    if (!InOrder)
+      return base::fail(base::error_kind::Corrupt,
+                        "the history of edits has a gap");
+    Restored.append(std::move(Record));
+  }
+  *this = std::move(Restored);
+  return base::success();
+}
+
+} // namespace fulmar::controlstate
--- /dev/null
+++ b/modules/controlstate/internal/replies.cpp
@@ -0,0 +1,16 @@
+// Encodes and decodes replies.
+
+#include "fulmar/controlstate/replies.h"
+
+#include "replypacking.h"
+#include "variantpacking.h"
+
+namespace fulmar::controlstate {
+
+std::string encodeReply(const reply &Reply) { return claims::packValue(Reply); }
+
+base::result<reply> decodeReply(std::string_view Bytes) {
+  return claims::unpackValue<reply>(Bytes);
+}
+
+} // namespace fulmar::controlstate
