--- /dev/null
+++ b/modules/controlstate/include/fulmar/controlstate/jsonforms.h
@@ -0,0 +1,33 @@
+// JSON forms of replies, edits and members, as they travel between processes.
+
+#ifndef FULMAR_CONTROLSTATE_JSONFORMS_H
+#define FULMAR_CONTROLSTATE_JSONFORMS_H
+
+#include "fulmar/controlstate/commands.h"
+#include "fulmar/controlstate/editlog.h"
+#include "fulmar/controlstate/replies.h"
+
+#include <json/value.h>
+
+#include <string>
+
+namespace fulmar::controlstate {
+
+/// `outcome`, `revision`, `serial`, `message`, `repeated` and `in_force` with
+/// `number`, `content` and `author`.
+Json::Value toJson(const edit_reply &Reply);
+/// `serial`, `state` and `repeated`.
+Json::Value toJson(const data_centre_reply &Reply);
+/// `crashes` and `quarantined`.
+Json::Value toJson(const crash_reply &Reply);
+/// `revision`, `section`, `number`, `author` and `removed`.
+Json::Value toJson(const edit_record &Record);
+Json::Value toJson(const member_report &Report);
+/// Fails with BadRequest when a field is missing or of the wrong type.
+base::result<member_report> memberFromJson(const Json::Value &Json);
+/// "leave" or "return"; BadRequest otherwise.
+base::result<data_centre_action> actionFrom(const std::string &Text);
+
+} // namespace fulmar::controlstate
+
+#endif // FULMAR_CONTROLSTATE_JSONFORMS_H
--- a/modules/controlstate/internal/publishing.cpp
+++ b/modules/controlstate/internal/publishing.cpp
@@ -1,6 +1,7 @@
 // Keeps the published items equal to the tables.
 
 #include "fulmar/controlstate/controlstate.h"
+#include "fulmar/controlstate/jsonforms.h"
 
 #include <json/value.h>
 #include <json/writer.h>
@@ -15,17 +16,6 @@
   return Json::writeString(Builder, Value);
 }
 
-Json::Value toJson(const member_report &Report) {
-  Json::Value Value;
-  Value["id"] = Report.Id;
-  Value["incarnation"] = Report.Incarnation;
-  Value["data_centre"] = Report.DataCentre;
-  Value["address"] = Report.Address;
-  Value["rpc_address"] = Report.RpcAddress;
-  Value["stopping"] = Report.Stopping;
-  return Value;
-}
-
 } // namespace
 
 void control_state::publishSection(const std::string &Section) {
