--- /dev/null
+++ b/modules/directory/include/fulmar/directory/directorytypes.h
@@ -0,0 +1,101 @@
+// Value types of the directory: what targets announce, what is published of
+// each member, and the policies that bound permission and capacity.
+
+#ifndef FULMAR_DIRECTORY_DIRECTORYTYPES_H
+#define FULMAR_DIRECTORY_DIRECTORYTYPES_H
+
+#include "fulmar/base/identifier.h"
+#include "fulmar/base/result.h"
+#include "fulmar/base/time.h"
+
+#include <json/value.h>
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace fulmar::directory {
+
+enum class target_state : std::uint8_t { Cold, Warm, Draining };
+
+/// What a target says of itself about every second.
+struct announcement {
+  /// Belongs to one data centre for good.
+  base::target_id Id;
+  base::service_name Service;
+  base::data_centre_name DataCentre;
+  /// IP:PORT.
+  std::string Address;
+  /// Changes whenever the target starts anew.
+  std::string Incarnation;
+  target_state State = target_state::Cold;
+  std::uint32_t Slots = 0;
+  std::uint32_t Connections = 0;
+  /// Requests in flight that the target bears now.
+  std::uint32_t Bears = 0;
+  /// Utilisation, 0 idle to 1 full.
+  double Load = 0;
+  std::uint32_t InFlight = 0;
+  /// Grows within an incarnation, so that a late announcement is recognised;
+  /// 0 when the target does not number its announcements.
+  std::uint64_t Sequence = 0;
+
+  friend auto operator<=>(const announcement &, const announcement &) = default;
+};
+
+Json::Value toJson(const announcement &Announcement);
+/// Fails with BadRequest; the message names every fault.
+base::result<announcement> announcementFromJson(const Json::Value &Json);
+
+/// An entry as published under member/ID.
+struct member {
+  /// Belongs to one data centre for good.
+  base::instance_id Id;
+  std::string Incarnation;
+  base::data_centre_name DataCentre;
+  /// Empty when the instances are not grouped in regions.
+  std::string Region;
+  /// IP:PORT for callers.
+  std::string Address;
+  /// IP:PORT for the system's own processes.
+  std::string RpcAddress;
+  /// The instance is shutting down gracefully: it owns nothing and takes no
+  /// new callers.
+  bool Stopping = false;
+
+  friend auto operator<=>(const member &, const member &) = default;
+};
+
+Json::Value toJson(const member &Member);
+/// Fails with BadRequest; the message names every fault.
+base::result<member> memberFromJson(const Json::Value &Json);
+
+/// Limits of the targets of one service.
+struct service_policy {
+  std::uint32_t InFlightPerSlot = 1;
+  /// Time from "warm" to the full limit.
+  base::duration ColdRamp = std::chrono::seconds(10);
+  /// Target time that measuring may take in each second, over all entries.
+  base::duration ProbeBudgetPerSecond = std::chrono::milliseconds(10);
+
+  friend auto operator<=>(const service_policy &,
+                          const service_policy &) = default;
+};
+
+/// Bounds of permission; the same at every instance.
+struct permission_policy {
+  /// Age of the proof up to which new work may be started.
+  base::duration Permission = std::chrono::milliseconds(4000);
+  /// Validity of a grant from the moment when the grantee asked.
+  base::duration Grant = std::chrono::milliseconds(1000);
+  /// Time without an announcement after which a target has left.
+  base::duration AnnouncementLease = std::chrono::milliseconds(3000);
+
+  friend auto operator<=>(const permission_policy &,
+                          const permission_policy &) = default;
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_DIRECTORYTYPES_H
--- /dev/null
+++ b/modules/directory/internal/jsonreader.h
@@ -0,0 +1,81 @@
+// Reads the fields of a JSON object strictly and collects a line for every
+// fault, so that one answer names them all.
+
+#ifndef FULMAR_DIRECTORY_INTERNAL_JSONREADER_H
+#define FULMAR_DIRECTORY_INTERNAL_JSONREADER_H
+
+#include "fulmar/base/identifier.h"
+#include "fulmar/base/result.h"
+#include "fulmar/base/time.h"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmar::directory {
+
+/// Fields that are missing or wrong yield an empty value and a fault.
+class json_reader {
+public:
+  /// \p Source outlives the reader. \p Path stands before each fault.
+  json_reader(const Json::Value &Source, std::string Path);
+
+  std::string text(const char *Key);
+  std::string textOr(const char *Key, std::string Default);
+  /// IP:PORT.
+  std::string address(const char *Key);
+  std::uint64_t number(const char *Key, std::uint64_t Maximum);
+  std::uint64_t numberOr(const char *Key, std::uint64_t Maximum,
+                         std::uint64_t Default);
+  std::uint32_t count(const char *Key);
+  base::duration microseconds(const char *Key);
+  /// A number from 0 to 1.
+  double fraction(const char *Key);
+  bool flag(const char *Key);
+  /// Position of the text in \p Names.
+  std::size_t choice(const char *Key,
+                     const std::vector<std::string_view> &Names);
+
+  /// Reads each element of a list with \p Read(json_reader &).
+  template <typename Read> auto list(const char *Key, Read &&ReadElement) {
+    std::vector<decltype(ReadElement(*this))> Elements;
+    const Json::Value &Array = listValue(Key);
+    Elements.reserve(Array.size());
+    for (const Json::Value &Element : Array) {
+      json_reader Reader(Element, Name + "." + Key);
+      Elements.push_back(ReadElement(Reader));
+      adopt(Reader);
+      if (Faults.size() >= MaxFaults)
+        break;
+    }
+    return Elements;
+  }
+
+  /// \p Value, or BadRequest with every fault.
+  template <typename Value> base::result<Value> finish(Value Read) const {
+    if (Faults.empty())
+      return Read;
+    return base::fail(base::error_kind::BadRequest, joinedFaults());
+  }
+
+private:
+  /// Further faults are not reported.
+  static constexpr std::size_t MaxFaults = 16;
+
+  [[nodiscard]] const Json::Value &field(const char *Key) const;
+  [[nodiscard]] const Json::Value &listValue(const char *Key);
+  [[nodiscard]] std::string joinedFaults() const;
+  void fault(const char *Key, const std::string &Expected);
+  void adopt(const json_reader &Element);
+
+  const Json::Value &Object;
+  std::string Name;
+  std::vector<std::string> Faults;
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_INTERNAL_JSONREADER_H
--- /dev/null
+++ b/modules/directory/internal/ownership.cpp
@@ -0,0 +1,89 @@
+// Follows a target's owner through the views learned within the handover time.
+
+#include "fulmar/directory/ownership.h"
+
+#include "fulmar/base/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmar::directory {
+
+ownership::ownership(ownership_options Given) : Options(std::move(Given)) {
+  Epochs.push_back({.View = std::make_shared<const membership>()});
+}
+
+void ownership::onMembership(std::shared_ptr<const membership> View,
+                             const membership_change &Change,
+                             base::instant Now) {
+  Epochs.push_back(
+      {.View = std::move(View), .Change = Change, .LearnedAt = Now});
+  // The view in force when the handover time began is the one that later
+  // views are compared with.
+  while (Epochs.size() > 1 && Now - Epochs[1].LearnedAt > Options.Handover)
+    Epochs.pop_front();
+}
+
+const membership &ownership::view() const { return *Epochs.back().View; }
+
+std::optional<base::instance_id>
+ownership::ownerOf(const base::target_id &Target,
+                   const base::data_centre_name &DataCentre) const {
+  return base::rendezvousHolder(Target.str(), view().ownersFor(DataCentre));
+}
+
+bool ownership::ownsIn(const membership &View, const base::target_id &Target,
+                       const base::data_centre_name &DataCentre) const {
+  const member *Self = View.find(Options.Self);
+  if (Self == nullptr || Self->Incarnation != Options.Incarnation)
+    return false;
+  return base::rendezvousHolder(Target.str(), View.ownersFor(DataCentre)) ==
+         Options.Self;
+}
+
+bool ownership::owns(const base::target_id &Target,
+                     const base::data_centre_name &DataCentre) const {
+  return ownsIn(view(), Target, DataCentre);
+}
+
+bool ownership::mayAct(const base::target_id &Target,
+                       const base::data_centre_name &DataCentre,
+                       const freshness &Freshness, base::instant Now) const {
+  if (!Freshness.mayStartWork(Now) || !owns(Target, DataCentre))
+    return false;
+  for (std::size_t Index = Epochs.size() - 1; Index > 0; --Index) {
+    const epoch &After = Epochs[Index];
+    if (Now - After.LearnedAt > Options.Handover)
+      return true;
+    if (!keptThrough(Epochs[Index - 1], After, Target, DataCentre))
+      return false;
+  }
+  return true;
+}
+
+bool ownership::keptThrough(const epoch &Before, const epoch &After,
+                            const base::target_id &Target,
+                            const base::data_centre_name &DataCentre) const {
+  if (!After.Change.Complete || !ownsIn(*Before.View, Target, DataCentre))
+    return false;
+  const member &Self = *Before.View->find(Options.Self);
+  const auto Weight = base::rendezvousWeight(Target.str(), Options.Self.str());
+  // A member that changed more than once may have owned the target under a
+  // view in between, which this instance has not seen.
+  const auto MayHaveOwned = [&](const base::instance_id &Changed) {
+    if (Changed == Options.Self)
+      return true;
+    const member *Known = Before.View->find(Changed);
+    if (Known == nullptr)
+      Known = After.View->find(Changed);
+    if (Known != nullptr && Known->DataCentre != DataCentre &&
+        Self.DataCentre == DataCentre)
+      return false;
+    return Self.DataCentre != DataCentre ||
+           base::rendezvousWeight(Target.str(), Changed.str()) >= Weight;
+  };
+  return std::none_of(After.Change.Changed.begin(), After.Change.Changed.end(),
+                      MayHaveOwned);
+}
+
+} // namespace fulmar::directory
