--- a/modules/document/include/fulmar/document/document.h
+++ b/modules/document/include/fulmar/document/document.h
@@ -55,7 +55,7 @@
   };
 
   [[nodiscard]] fault_list checkRemoval(const std::string &Section) const;
-  void checkCount(const section_name &Name, fault_list &Faults) const;
+  [[nodiscard]] std::size_t countOf(section_kind Kind) const;
 
   std::map<std::string, section> Sections;
 };
--- a/modules/document/internal/document.cpp
+++ b/modules/document/internal/document.cpp
@@ -34,6 +34,12 @@
   return Found->MaxCount;
 }
 
+fault countFault(const std::string &Section, section_kind Kind) {
+  return {Section, "", "",
+          "at most " + std::to_string(limitOf(Kind)) +
+              " sections of this kind"};
+}
+
 value_map checkContent(const section_name &Name, const std::string &Content,
                        fault_list &Faults) {
   const std::string Section = Name.str();
@@ -69,13 +75,16 @@
   fault_list Faults;
   const value_map Values = checkContent(*Name, Content, Faults);
   for (const std::string &Reference : referencesOf(schemaOf(*Name), Values)) {
-    if (!Sections.contains(Reference))
+    if (Reference == ControlPolicySection)
+      Faults.push_back({Section, "policy", "control",
+                        "a policy of services; this one is the system's"});
+    else if (!Sections.contains(Reference))
       Faults.push_back({Section, "", "",
                         "a section " + Reference +
                             ", which this one refers to; add it first"});
   }
-  if (!Sections.contains(Section))
-    checkCount(*Name, Faults);
+  if (!Sections.contains(Section) && countOf(Name->Kind) >= limitOf(Name->Kind))
+    Faults.push_back(countFault(Section, Name->Kind));
   return Faults;
 }
 
@@ -91,17 +100,13 @@
   return Faults;
 }
 
-void document::checkCount(const section_name &Name, fault_list &Faults) const {
-  const std::string Prefix = section_name{Name.Kind, ""}.str();
+std::size_t document::countOf(section_kind Kind) const {
+  const std::string Prefix = section_name{Kind, ""}.str();
   std::size_t Count = 0;
   for (auto Entry = Sections.lower_bound(Prefix);
        Entry != Sections.end() && Entry->first.starts_with(Prefix); ++Entry)
     ++Count;
-  const std::size_t Limit = limitOf(Name.Kind);
-  if (Count >= Limit)
-    Faults.push_back(
-        {Name.str(), "", "",
-         "at most " + std::to_string(Limit) + " sections of this kind"});
+  return Count;
 }
 
 void document::put(const std::string &Section, const std::string &Content) {
@@ -161,6 +166,11 @@
         Part.Section, Part.Content.empty() ? "\n" : Part.Content);
     Faults.insert(Faults.end(), Found.begin(), Found.end());
   }
+  for (const kind_limit &Limit : Limits) {
+    if (Whole.countOf(Limit.Kind) > Limit.MaxCount)
+      Faults.push_back(
+          countFault(section_name{Limit.Kind, "*"}.str(), Limit.Kind));
+  }
   return Faults;
 }
 
