Split the proof of a token from the task that drives the log

Cause: hashing a token takes milliseconds, and the task that drives the log must not miss its heartbeats. Also: history by section without a scan, restore parses each section once, texts that are not UTF-8 are refused (JSON would change them), names are bounded. Ruled out: hashing when the command is applied, on every instance. Conclusion: the state's task only looks the hash up.

--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -25,6 +25,11 @@
 /// leader's stepped clock can't end every retention at once.
 inline constexpr std::int64_t MaxClockStepMs = 60'000;
 
+/// What the leader puts into a command for \p Token. Takes milliseconds: to be
+/// called outside of the task that drives the log.
+token_proof proveToken(std::string_view Token, const std::string &Section,
+                       const std::string &RequiredHash);
+
 /// Not thread-safe: owned by the task that drives the log.
 class control_state final : public consensus::istate_machine {
 public:
@@ -49,8 +54,16 @@
   }
   [[nodiscard]] std::int64_t nowMs() const { return NowMs; }
 
-  /// Hashes a token for an edit or for an operation on a data centre, see
-  /// token_proof. \p AdministratorHash comes from the leader's settings.
+  /// The hash that a token must match to edit a section or to operate on a
+  /// data centre; empty when no token does. For owners' sections that is
+  /// \p AdministratorHash, of the leader's settings.
+  [[nodiscard]] std::string
+  requiredHash(const std::string &Section, const std::string &Content,
+               const std::string &AdministratorHash) const;
+  [[nodiscard]] std::string
+  requiredHashOfDataCentre(const std::string &Name) const;
+
+  /// Both steps in one, for callers that may block.
   [[nodiscard]] token_proof
   proveEdit(const std::string &Section, const std::string &Content,
             std::string_view Token, const std::string &AdministratorHash) const;
--- a/modules/controlstate/include/fulmar/controlstate/crashtable.h
+++ b/modules/controlstate/include/fulmar/controlstate/crashtable.h
@@ -12,11 +12,11 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
 #include <tuple>
-#include <vector>
 
 namespace fulmar::controlstate {
 
@@ -36,8 +36,9 @@
 public:
   crash_reply report(const crash_command &Crash, std::int64_t NowMs,
                      const crash_rules &Rules);
-  /// Drops reports and quarantines whose time has passed.
-  void advance(std::int64_t NowMs, const crash_rules &Rules);
+  /// Drops reports and quarantines whose time has passed. True when a
+  /// quarantine ended.
+  bool advance(std::int64_t NowMs, const crash_rules &Rules);
 
   /// Fingerprint to the time until which it is quarantined.
   [[nodiscard]] const std::map<std::string, std::int64_t> &quarantines() const {
@@ -65,7 +66,7 @@
   void discount(const std::string &Target);
 
   /// In order of time.
-  std::vector<crash> Crashes;
+  std::deque<crash> Crashes;
   std::map<std::string, std::int64_t> Quarantines;
 };
 
--- a/modules/controlstate/internal/authority.cpp
+++ b/modules/controlstate/internal/authority.cpp
@@ -45,21 +45,40 @@
                   Edit.Proof);
 }
 
+std::string
+control_state::requiredHash(const std::string &Section,
+                            const std::string &Content,
+                            const std::string &AdministratorHash) const {
+  if (Section.starts_with(document::OwnerPrefix))
+    return AdministratorHash;
+  return hashOf(teamFor(Edits.inForce(), Section, Content));
+}
+
+std::string
+control_state::requiredHashOfDataCentre(const std::string &Name) const {
+  return hashOf(
+      Edits.inForce().ownerOf(std::string(document::DataCentrePrefix) + Name));
+}
+
 token_proof
 control_state::proveEdit(const std::string &Section, const std::string &Content,
                          std::string_view Token,
                          const std::string &AdministratorHash) const {
-  if (Section.starts_with(document::OwnerPrefix))
-    return {.Administrator = document::verifyToken(Token, AdministratorHash)};
-  const std::string Team = teamFor(Edits.inForce(), Section, Content);
-  return {.Hash = document::hashTokenLike(Token, hashOf(Team))};
+  return proveToken(Token, Section,
+                    requiredHash(Section, Content, AdministratorHash));
 }
 
 token_proof control_state::proveDataCentre(const std::string &Name,
                                            std::string_view Token) const {
-  const std::string Team =
-      Edits.inForce().ownerOf(std::string(document::DataCentrePrefix) + Name);
-  return {.Hash = document::hashTokenLike(Token, hashOf(Team))};
+  return proveToken(Token, std::string(document::DataCentrePrefix) + Name,
+                    requiredHashOfDataCentre(Name));
+}
+
+token_proof proveToken(std::string_view Token, const std::string &Section,
+                       const std::string &RequiredHash) {
+  if (Section.starts_with(document::OwnerPrefix))
+    return {.Administrator = document::verifyToken(Token, RequiredHash)};
+  return {.Hash = document::hashTokenLike(Token, RequiredHash)};
 }
 
 } // namespace fulmar::controlstate
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -6,13 +6,26 @@
 #include "fulmar/document/token.h"
 
 #include <algorithm>
+#include <cctype>
 
 namespace fulmar::controlstate {
 
 namespace {
 
-constexpr std::size_t MaxAuthorBytes = 128;
-constexpr std::size_t MaxOperationBytes = 128;
+constexpr std::size_t MaxNameBytes = 128;
+
+/// 1 to MaxNameBytes bytes without control characters.
+bool isPlainName(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         std::none_of(Text.begin(), Text.end(), [](unsigned char Letter) {
+           return std::iscntrl(Letter) != 0;
+         });
+}
+
+std::string expectedName(const std::string &What) {
+  return What + " must have 1 to " + std::to_string(MaxNameBytes) +
+         " printable characters";
+}
 
 claims::claim_limits limitsOf(const document::control_policy &Policy) {
   constexpr std::size_t Kilobyte = 1024;
@@ -63,14 +76,13 @@
     NowMs = WallMs;
   NowMs = std::clamp(WallMs, NowMs, NowMs + MaxClockStepMs);
   Claims.advance(NowMs);
-  Crashes.advance(NowMs, rulesOf(Policy));
-  publishQuarantines();
+  if (Crashes.advance(NowMs, rulesOf(Policy)))
+    publishQuarantines();
 }
 
 reply control_state::applyBody(const edit_command &Edit) {
-  if (Edit.Author.empty() || Edit.Author.size() > MaxAuthorBytes)
-    return refusedEdit("the author must have 1 to " +
-                       std::to_string(MaxAuthorBytes) + " characters");
+  if (!isPlainName(Edit.Author))
+    return refusedEdit(expectedName("the author"));
   if (const auto Answer = Edits.answerByNumber(Edit))
     return *Answer;
   if (const auto Refusal = Edits.refusalOf(Edit))
@@ -84,11 +96,9 @@
 }
 
 reply control_state::applyBody(const data_centre_command &Operation) {
-  if (Operation.Operation.empty() ||
-      Operation.Operation.size() > MaxOperationBytes)
+  if (!isPlainName(Operation.Operation) || !isPlainName(Operation.Author))
     return failed(base::error_kind::BadRequest,
-                  "the operation's id must have 1 to " +
-                      std::to_string(MaxOperationBytes) + " characters");
+                  expectedName("the operation's id and its author"));
   if (const auto Answer = DataCentres.answerOf(Operation)) {
     if (!*Answer)
       return failed_reply{Answer->error()};
@@ -109,7 +119,8 @@
 
 reply control_state::applyBody(const member_command &Join) {
   const member_report &Report = Join.Report;
-  const bool Named = !Report.Id.empty() && !Report.Incarnation.empty() &&
+  const bool Named = isPlainName(Report.Id) &&
+                     isPlainName(Report.Incarnation) &&
                      Report.Id.find('/') == std::string::npos;
   if (!Named)
     return failed(base::error_kind::BadRequest,
@@ -153,9 +164,9 @@
 }
 
 reply control_state::applyBody(const crash_command &Crash) {
-  if (Crash.Fingerprint.empty() || Crash.Target.empty())
+  if (!isPlainName(Crash.Fingerprint) || !isPlainName(Crash.Target))
     return failed(base::error_kind::BadRequest,
-                  "a crash report needs a fingerprint and a target");
+                  expectedName("a crash's fingerprint and target"));
   const crash_reply Reply = Crashes.report(Crash, NowMs, rulesOf(Policy));
   publishQuarantines();
   return Reply;
--- a/modules/controlstate/internal/crashtable.cpp
+++ b/modules/controlstate/internal/crashtable.cpp
@@ -11,10 +11,10 @@
 
 crash_reply crash_table::report(const crash_command &Crash, std::int64_t NowMs,
                                 const crash_rules &Rules) {
-  advance(NowMs, Rules);
+  (void)advance(NowMs, Rules);
   if (!contains(Crash)) {
     if (Crashes.size() >= MaxCrashReports)
-      Crashes.erase(Crashes.begin());
+      Crashes.pop_front();
     Crashes.push_back({.Command = Crash, .AtMs = NowMs});
   }
   if (isSick(Crash.Target, Rules))
@@ -26,12 +26,12 @@
           .Quarantined = Quarantines.contains(Crash.Fingerprint)};
 }
 
-void crash_table::advance(std::int64_t NowMs, const crash_rules &Rules) {
-  std::erase_if(Crashes, [&](const crash &Crash) {
-    return Crash.AtMs + Rules.WindowMs <= NowMs;
-  });
-  std::erase_if(Quarantines,
-                [&](const auto &Entry) { return Entry.second <= NowMs; });
+bool crash_table::advance(std::int64_t NowMs, const crash_rules &Rules) {
+  while (!Crashes.empty() && Crashes.front().AtMs + Rules.WindowMs <= NowMs)
+    Crashes.pop_front();
+  return std::erase_if(Quarantines, [&](const auto &Entry) {
+           return Entry.second <= NowMs;
+         }) > 0;
 }
 
 bool crash_table::contains(const crash_command &Crash) const {
@@ -79,7 +79,7 @@
 
 base::result<void> crash_table::decode(std::string_view Encoded) {
   using tables =
-      std::tuple<std::vector<crash>, std::map<std::string, std::int64_t>>;
+      std::tuple<std::deque<crash>, std::map<std::string, std::int64_t>>;
   BOOST_OUTCOME_TRY(Decoded, claims::unpackValue<tables>(Encoded));
   std::tie(Crashes, Quarantines) = std::move(Decoded);
   return base::success();
--- a/modules/controlstate/internal/editlog.cpp
+++ b/modules/controlstate/internal/editlog.cpp
@@ -73,11 +73,11 @@
           .Number = Edit.Number,
           .Author = Edit.Author,
           .Content = Edit.Content});
+  InForce.put(Edit.Section, Edit.Content);
   return firstAnswer(Records.back());
 }
 
 void edit_log::append(edit_record Record) {
-  InForce.put(Record.Section, Record.Content);
   RevisionsOf[Record.Section].push_back(Record.Revision);
   Records.push_back(std::move(Record));
 }
@@ -124,11 +124,18 @@
 std::vector<edit_record> edit_log::history(const std::string &Section,
                                            std::size_t Limit) const {
   std::vector<edit_record> Newest;
-  for (auto Record = Records.rbegin();
-       Record != Records.rend() && Newest.size() < Limit; ++Record) {
-    if (Section.empty() || Record->Section == Section)
-      Newest.push_back(*Record);
+  if (Section.empty()) {
+    const std::size_t Count = std::min(Limit, Records.size());
+    Newest.assign(Records.rbegin(),
+                  Records.rbegin() + static_cast<std::ptrdiff_t>(Count));
+    return Newest;
   }
+  const auto Found = RevisionsOf.find(Section);
+  if (Found == RevisionsOf.end())
+    return Newest;
+  for (auto Revision = Found->second.rbegin();
+       Revision != Found->second.rend() && Newest.size() < Limit; ++Revision)
+    Newest.push_back(Records[*Revision - 1]);
   return Newest;
 }
 
@@ -146,6 +153,9 @@
                         "the history of edits has a gap");
     Restored.append(std::move(Record));
   }
+  for (const auto &[Section, Revisions] : Restored.RevisionsOf)
+    Restored.InForce.put(Section,
+                         Restored.Records[Revisions.back() - 1].Content);
   *this = std::move(Restored);
   return base::success();
 }
--- a/modules/document/internal/sectiontext.cpp
+++ b/modules/document/internal/sectiontext.cpp
@@ -6,6 +6,7 @@
 #include <Poco/AutoPtr.h>
 #include <Poco/Exception.h>
 #include <Poco/String.h>
+#include <Poco/UTF8Encoding.h>
 #include <Poco/Util/IniFileConfiguration.h>
 
 #include <algorithm>
@@ -34,10 +35,30 @@
   return !Bare.empty() && Bare.front() == '[';
 }
 
+bool isUtf8(const std::string &Line) {
+  const Poco::UTF8Encoding Encoding;
+  const auto *Next = reinterpret_cast<const unsigned char *>(Line.data());
+  const auto *End = Next + Line.size();
+  while (Next < End) {
+    int Length = 1;
+    // A negative answer is the negated length of the sequence.
+    int Letter = Encoding.queryConvert(Next, Length);
+    if (Letter < -1 && -Letter <= End - Next) {
+      Length = -Letter;
+      Letter = Encoding.queryConvert(Next, Length);
+    }
+    if (Letter < 0)
+      return false;
+    Next += Length;
+  }
+  return true;
+}
+
 bool isPrintable(const std::string &Line) {
-  return std::all_of(Line.begin(), Line.end(), [](unsigned char Letter) {
-    return Letter == '\t' || Letter == '\r' || std::iscntrl(Letter) == 0;
-  });
+  return isUtf8(Line) &&
+         std::all_of(Line.begin(), Line.end(), [](unsigned char Letter) {
+           return Letter == '\t' || Letter == '\r' || std::iscntrl(Letter) == 0;
+         });
 }
 
 bool isBlank(const std::string &Line) {
