--- /dev/null
+++ b/modules/consensus/tests/cluster.h
@@ -0,0 +1,345 @@
+// A handful of replicated logs joined by a network that loses, delays,
+// reorders and duplicates messages, on disks that lose unsynced data. Every
+// step checks that there is one history and that nothing accepted is lost.
+
+#ifndef FULMAR_CONSENSUS_CLUSTER_H
+#define FULMAR_CONSENSUS_CLUSTER_H
+
+#include "../../journal/tests/memoryfilesystem.h"
+#include "fulmar/consensus/replicatedlog.h"
+
+#include "fulmar/testing/property.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fulmar::consensus {
+
+/// The naive copy: every command that was ever applied, in order.
+class history_machine final : public istate_machine {
+public:
+  std::vector<std::string> History;
+
+  std::string apply(log_index /*Index*/, std::string_view Command) override {
+    History.emplace_back(Command);
+    return std::to_string(History.size());
+  }
+  [[nodiscard]] std::string snapshot() const override {
+    std::string Lines;
+    for (const std::string &Command : History)
+      Lines += Command + "\n";
+    return Lines;
+  }
+  base::result<void> restore(std::string_view Snapshot) override {
+    History.clear();
+    for (std::size_t End = 0; !Snapshot.empty();
+         Snapshot.remove_prefix(End + 1)) {
+      End = Snapshot.find('\n');
+      History.emplace_back(Snapshot.substr(0, End));
+    }
+    return base::success();
+  }
+};
+
+class cluster {
+public:
+  struct instance {
+    journal::memory_filesystem Files;
+    history_machine Machine;
+    std::unique_ptr<replicated_log> Log;
+    /// Every machine's clock has an origin of its own.
+    base::duration ClockOrigin{};
+    bool Frozen = false;
+    /// Commands by ticket, of this process's life.
+    std::map<ticket, std::string> Proposed;
+    std::optional<base::error> Fatal;
+  };
+
+  struct faults {
+    /// Of a thousand messages.
+    unsigned Lost = 0;
+    unsigned Doubled = 0;
+    unsigned MaxDelaySteps = 1;
+  };
+
+  static constexpr base::duration Step = std::chrono::milliseconds(10);
+
+  explicit cluster(std::vector<replica_id> InitialVoters,
+                   std::uint64_t Seed = 1)
+      : Random(Seed), Initial(std::move(InitialVoters)) {
+    for (const replica_id &Id : Initial)
+      start(Id);
+  }
+
+  faults Faults;
+  std::uint64_t SnapshotEvery = 1000;
+  std::map<replica_id, instance> Instances;
+  std::set<std::pair<replica_id, replica_id>> Cut;
+  /// Positions in the history of the commands that were answered as accepted.
+  std::map<std::string, std::size_t> Accepted;
+  std::set<std::string> Refused;
+  std::set<std::string> Unknown;
+  base::random_source Random;
+
+  void start(const replica_id &Id) {
+    instance &Instance = Instances[Id];
+    Instance.ClockOrigin = std::chrono::seconds(Random() % 100000);
+    Instance.Machine.History.clear();
+    Instance.Proposed.clear();
+    Instance.Fatal.reset();
+    Instance.Frozen = false;
+    auto Opened = replicated_log::open({.Replica = {.Id = Id,
+                                                    .Bootstrap = true,
+                                                    .InitialVoters = Initial,
+                                                    .MaxBatchEntries = 16,
+                                                    .SnapshotChunkBytes = 100,
+                                                    .TrailingEntries = 8,
+                                                    .Seed = Random()},
+                                        .Folder = "data",
+                                        .SnapshotEvery = SnapshotEvery,
+                                        .SegmentBytes = 2000},
+                                       Instance.Files, Instance.Machine,
+                                       clockOf(Instance));
+    CHECK_TRUE_TEXT(Opened.has_value(),
+                    Opened ? "" : Opened.error().Message.c_str());
+    Instance.Log = std::move(Opened.value());
+  }
+
+  void stop(const replica_id &Id) {
+    Instances[Id].Log.reset();
+    Instances[Id].Files.restart(Random);
+    std::erase_if(InFlight, [&Id](const auto &Sent) { return Sent.To == Id; });
+  }
+
+  void loseDisk(const replica_id &Id) {
+    stop(Id);
+    Instances[Id].Files.wipe();
+  }
+
+  void isolate(const replica_id &Id) {
+    for (const auto &[Other, Instance] : Instances) {
+      Cut.insert({Id, Other});
+      Cut.insert({Other, Id});
+    }
+  }
+
+  replicated_log &at(const replica_id &Id) { return *Instances[Id].Log; }
+  log_status status(const replica_id &Id) {
+    return at(Id).status(clockOf(Instances[Id]));
+  }
+  base::instant clockOf(const instance &Instance) const {
+    return Now + Instance.ClockOrigin;
+  }
+
+  /// Proposes a command that was never proposed before.
+  std::optional<std::string> propose(const replica_id &Id) {
+    instance &Instance = Instances[Id];
+    const std::string Command = "command " + std::to_string(++Commands);
+    const auto Ticket = Instance.Log->propose(Command, clockOf(Instance));
+    if (!Ticket) {
+      Refused.insert(Command);
+      return std::nullopt;
+    }
+    Instance.Proposed[Ticket.value()] = Command;
+    return Command;
+  }
+
+  void runStep() {
+    Now += Step;
+    deliverDue();
+    for (auto &[Id, Instance] : Instances) {
+      if (!Instance.Log || Instance.Frozen)
+        continue;
+      Instance.Log->tick(clockOf(Instance));
+      flush(Id, Instance);
+    }
+    checkAll();
+  }
+
+  void run(base::duration Time) {
+    for (base::duration Passed{}; Passed < Time; Passed += Step)
+      runStep();
+  }
+
+  /// Runs until \p Reached holds; fails the test after half a minute.
+  template <typename Condition> void runUntil(Condition Reached) {
+    constexpr int MaxSteps = 3000;
+    for (int I = 0; I < MaxSteps; ++I) {
+      if (Reached())
+        return;
+      runStep();
+    }
+    FAIL("the condition was not reached");
+  }
+
+  /// The leader of the highest term among running instances; may be empty.
+  replica_id leader() {
+    replica_id Found;
+    log_term Term = 0;
+    for (const auto &[Id, Instance] : Instances) {
+      if (!Instance.Log || Instance.Frozen)
+        continue;
+      const log_status Status = status(Id);
+      if (Status.Role == role::Leader && Status.Term > Term) {
+        Found = Id;
+        Term = Status.Term;
+      }
+    }
+    return Found;
+  }
+
+  /// All voters of a formed cluster are present on their current disks.
+  bool whole(std::size_t Voters) {
+    const replica_id Leader = leader();
+    if (Leader.empty())
+      return false;
+    const configuration Members = status(Leader).Members;
+    return Members.Formed && Members.Learners.empty() &&
+           Members.Voters.size() == Voters && settled(Leader);
+  }
+
+  bool settled(const replica_id &Leader) {
+    const log_status Status = status(Leader);
+    return Status.Commit == Status.LastIndex && !Leader.empty();
+  }
+
+  void waitWhole(std::size_t Voters) {
+    runUntil([&] { return whole(Voters); });
+  }
+
+  /// Proposes at the leader and runs until it is accepted.
+  void accept(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      runUntil([&] { return !leader().empty(); });
+      const auto Command = propose(leader());
+      if (Command)
+        runUntil([&] {
+          return Accepted.contains(*Command) || Unknown.contains(*Command);
+        });
+      else
+        runStep();
+    }
+  }
+
+  bool converged() {
+    return std::all_of(Instances.begin(), Instances.end(), [&](auto &Entry) {
+      return !Entry.second.Log || Entry.second.Machine.History == History;
+    });
+  }
+
+  /// Drops what the instance's next flush would send and answer.
+  void flushIntoNothing(const replica_id &Id) {
+    (void)at(Id).flush(clockOf(Instances[Id]));
+  }
+
+private:
+  struct in_flight {
+    base::instant Due;
+    replica_id From;
+    replica_id To;
+    std::string Bytes;
+  };
+
+  void deliverDue() {
+    std::vector<in_flight> Sent;
+    std::swap(Sent, InFlight);
+    for (in_flight &Message : Sent) {
+      const auto Target = Instances.find(Message.To);
+      if (Target == Instances.end() || !Target->second.Log ||
+          Cut.contains({Message.From, Message.To}))
+        continue;
+      // A frozen process reads its sockets when it wakes.
+      if (Message.Due > Now || Target->second.Frozen)
+        InFlight.push_back(std::move(Message));
+      else
+        Target->second.Log->deliver(Message.From, Message.Bytes,
+                                    clockOf(Target->second));
+    }
+  }
+
+  void flush(const replica_id &Id, instance &Instance) {
+    outputs Out = Instance.Log->flush(clockOf(Instance));
+    Instance.Fatal = Out.Fatal;
+    for (const completion &Done : Out.Completions)
+      complete(Instance, Done);
+    for (outgoing_bytes &Message : Out.Messages) {
+      const unsigned Copies = Random() % 1000 < Faults.Doubled ? 2 : 1;
+      for (unsigned I = 0; I < Copies; ++I) {
+        if (Random() % 1000 >= Faults.Lost)
+          InFlight.push_back(
+              {Now + Step * (Random() % Faults.MaxDelaySteps + 1), Id,
+               Message.To, Message.Bytes});
+      }
+    }
+    if (Faults.MaxDelaySteps > 1)
+      std::shuffle(InFlight.begin(), InFlight.end(), Random);
+  }
+
+  void complete(instance &Instance, const completion &Done) {
+    const auto Found = Instance.Proposed.find(Done.Ticket);
+    if (Found == Instance.Proposed.end())
+      return;
+    if (!Done.Error)
+      Accepted[Found->second] = std::stoul(Done.Reply);
+    else if (Done.Error->Kind == base::error_kind::NoQuorum)
+      Unknown.insert(Found->second);
+    else
+      Refused.insert(Found->second);
+    if (!Done.Error)
+      AcceptedAt.push_back({Now, std::stoul(Done.Reply)});
+    Instance.Proposed.erase(Found);
+  }
+
+  void checkAll() {
+    std::map<log_term, replica_id> Leaders;
+    for (auto &[Id, Instance] : Instances) {
+      if (!Instance.Log)
+        continue;
+      const log_status Status = status(Id);
+      if (Status.Role == role::Leader)
+        CHECK(Leaders.emplace(Status.Term, Id).second);
+      checkHistory(Instance);
+      checkProof(Instance, Status);
+    }
+    for (const auto &[Command, Position] : Accepted)
+      CHECK(Position <= History.size() && History[Position - 1] == Command);
+  }
+
+  void checkHistory(const instance &Instance) {
+    const auto &Own = Instance.Machine.History;
+    const std::size_t Common = std::min(Own.size(), History.size());
+    CHECK(std::equal(Own.begin(), Own.begin() + std::ptrdiff_t(Common),
+                     History.begin()));
+    for (std::size_t I = Common; I < Own.size(); ++I) {
+      CHECK(Seen.insert(Own[I]).second);
+      CHECK(!Refused.contains(Own[I]));
+      History.push_back(Own[I]);
+    }
+  }
+
+  /// A proof covers everything that anyone was told to be accepted before.
+  void checkProof(const instance &Instance, const log_status &Status) {
+    if (!Status.ProofAge)
+      return;
+    const base::instant Proved = Now - *Status.ProofAge;
+    for (const auto &[At, Position] : AcceptedAt)
+      CHECK(At > Proved || Position <= Instance.Machine.History.size());
+  }
+
+  std::vector<replica_id> Initial;
+  base::instant Now{};
+  std::vector<in_flight> InFlight;
+  std::size_t Commands = 0;
+  std::vector<std::string> History;
+  std::set<std::string> Seen;
+  std::vector<std::pair<base::instant, std::size_t>> AcceptedAt;
+};
+
+} // namespace fulmar::consensus
+
+#endif // FULMAR_CONSENSUS_CLUSTER_H
--- /dev/null
+++ b/modules/consensus/tests/replicatedlog_tests.cpp
@@ -0,0 +1,418 @@
+// Named failures of the control side, and random runs under all faults
+// together, on the whole replicated log with its journal.
+
+#include "cluster.h"
+
+using namespace fulmar;
+using namespace fulmar::consensus;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::vector<replica_id> Three = {"a", "b", "c"};
+
+replica_id followerOf(cluster &Cluster) {
+  const replica_id Leader = Cluster.leader();
+  for (const replica_id &Id : Three) {
+    if (Id != Leader)
+      return Id;
+  }
+  return {};
+}
+
+replica_id thirdOf(const replica_id &First, const replica_id &Second) {
+  for (const replica_id &Id : Three) {
+    if (Id != First && Id != Second)
+      return Id;
+  }
+  return {};
+}
+
+void expectConvergence(cluster &Cluster, std::size_t Voters) {
+  Cluster.Cut.clear();
+  Cluster.Faults = {};
+  Cluster.waitWhole(Voters);
+  Cluster.accept(1);
+  Cluster.runUntil([&] { return Cluster.converged(); });
+}
+
+} // namespace
+
+TEST_GROUP(ReplicatedLog){};
+
+TEST(ReplicatedLog, aSingleInstanceAccepts) {
+  cluster Cluster({"a"});
+  Cluster.waitWhole(1);
+  Cluster.accept(5);
+  CHECK_EQUAL(5, Cluster.Accepted.size());
+}
+
+TEST(ReplicatedLog, threeInstancesFormAndAccept) {
+  cluster Cluster(Three);
+  Cluster.waitWhole(3);
+  Cluster.accept(20);
+  CHECK_EQUAL(20, Cluster.Accepted.size());
+  Cluster.runUntil([&] { return Cluster.converged(); });
+}
+
+TEST(ReplicatedLog, aLeaderThatDiesBetweenSyncAndAnswerLosesNothing) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    Cluster.accept(3);
+    const replica_id Leader = Cluster.leader();
+    // Synced at the leader alone, then the leader is gone before it sends.
+    CHECK(Cluster.propose(Leader).has_value());
+    Cluster.flushIntoNothing(Leader);
+    Cluster.stop(Leader);
+    Cluster.accept(3);
+    Cluster.start(Leader);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, anEntryThatAQuorumHoldsSurvivesItsUnansweredLeader) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const auto Command = Cluster.propose(Leader);
+    // The followers hold it; their answers never arrive.
+    for (const replica_id &Id : Three)
+      Cluster.Cut.insert({Id, Leader});
+    Cluster.run(milliseconds(60));
+    CHECK(!Cluster.Accepted.contains(*Command));
+    Cluster.stop(Leader);
+    Cluster.Cut.clear();
+    Cluster.runUntil([&] { return !Cluster.leader().empty(); });
+    Cluster.accept(1);
+    const auto &History = Cluster.Instances[Cluster.leader()].Machine.History;
+    CHECK_EQUAL(1, std::count(History.begin(), History.end(), *Command));
+    Cluster.start(Leader);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, aSecondLossAfterTheFirstRepairLosesNothing) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.SnapshotEvery = 40;
+    Cluster.waitWhole(3);
+    Cluster.accept(60);
+    const replica_id First = followerOf(Cluster);
+    Cluster.loseDisk(First);
+    Cluster.accept(5);
+    Cluster.start(First);
+    Cluster.waitWhole(3);
+    const replica_id Second = Cluster.leader();
+    Cluster.loseDisk(Second);
+    Cluster.accept(5);
+    Cluster.start(Second);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, anEmptyDiskDoesNotCountBeforeItIsReadmitted) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const replica_id Lost = followerOf(Cluster);
+    const replica_id Behind = thirdOf(Leader, Lost);
+    // Only the leader and the lost disk hold the last commands.
+    Cluster.isolate(Behind);
+    Cluster.accept(5);
+    Cluster.stop(Leader);
+    Cluster.loseDisk(Lost);
+    Cluster.Cut.clear();
+    Cluster.start(Lost);
+    // The rest may not decide without the leader's disk.
+    Cluster.run(seconds(20));
+    CHECK(Cluster.leader().empty());
+    Cluster.start(Leader);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, theInstanceThatFormedTheClusterDoesNotFormAnother) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    Cluster.accept(5);
+    const std::string ClusterId = Cluster.status("a").ClusterId;
+    Cluster.loseDisk("a");
+    Cluster.isolate("a");
+    Cluster.start("a");
+    Cluster.run(seconds(10));
+    CHECK(Cluster.status("a").Role != role::Leader);
+    Cluster.Cut.clear();
+    expectConvergence(Cluster, 3);
+    STRCMP_EQUAL(ClusterId.c_str(), Cluster.status("a").ClusterId.c_str());
+  }
+}
+
+TEST(ReplicatedLog, anInstanceIsolatedForLongReturnsWithoutDisturbing) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.SnapshotEvery = 20;
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const replica_id Isolated = followerOf(Cluster);
+    const log_term Term = Cluster.status(Leader).Term;
+    Cluster.run(seconds(1));
+    CHECK(*Cluster.status(Isolated).ProofAge < seconds(1));
+    Cluster.isolate(Isolated);
+    Cluster.accept(50);
+    Cluster.run(seconds(60));
+    // It knows how old its knowledge is.
+    CHECK(*Cluster.status(Isolated).ProofAge > seconds(60));
+    Cluster.Cut.clear();
+    Cluster.run(seconds(5));
+    CHECK(Cluster.converged());
+    CHECK(*Cluster.status(Isolated).ProofAge < seconds(1));
+    CHECK_EQUAL(Term, Cluster.status(Leader).Term);
+    CHECK(Cluster.leader() == Leader);
+  }
+}
+
+TEST(ReplicatedLog, anIsolatedLeaderStopsAndCannotConfirm) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    Cluster.isolate(Leader);
+    const auto Command = Cluster.propose(Leader);
+    Cluster.run(seconds(3));
+    CHECK(Cluster.Unknown.contains(*Command));
+    CHECK(Cluster.status(Leader).Role != role::Leader);
+    CHECK(*Cluster.status(Leader).ProofAge > seconds(2));
+    CHECK(!Cluster.leader().empty());
+    Cluster.accept(3);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, aFrozenLeaderWakesAndCanNeitherAcceptNorConfirm) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    auto &Frozen = Cluster.Instances[Leader];
+    const auto Pending = Cluster.propose(Leader);
+    Cluster.runStep();
+    Frozen.Frozen = true;
+    Cluster.run(seconds(3));
+    Cluster.accept(5);
+    // Proposals come before any message of the new leader.
+    CHECK(!Cluster.propose(Leader).has_value());
+    const auto Read = Frozen.Log->read(Cluster.clockOf(Frozen));
+    CHECK(!Read.has_value());
+    CHECK(Read.error().Kind == base::error_kind::NotLeader);
+    CHECK(*Cluster.status(Leader).ProofAge > seconds(2));
+    Frozen.Frozen = false;
+    Cluster.runStep();
+    CHECK(!Cluster.Accepted.contains(*Pending));
+    CHECK(Cluster.status(Leader).Role != role::Leader);
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, allRestartAfterFiveHundredCommandsAndSeveralSnapshots) {
+  cluster Cluster(Three);
+  Cluster.SnapshotEvery = 100;
+  Cluster.waitWhole(3);
+  Cluster.accept(500);
+  CHECK_EQUAL(500, Cluster.Accepted.size());
+  for (const replica_id &Id : Three) {
+    CHECK(Cluster.status(Id).LastSnapshot > 400);
+    Cluster.stop(Id);
+  }
+  for (const replica_id &Id : Three)
+    Cluster.start(Id);
+  expectConvergence(Cluster, 3);
+  CHECK(Cluster.Instances["a"].Machine.History.size() >= 500);
+}
+
+TEST(ReplicatedLog, aFullDiskRefusesAndServesOn) {
+  cluster Cluster(Three);
+  Cluster.waitWhole(3);
+  Cluster.accept(5);
+  const replica_id Leader = Cluster.leader();
+  auto &Files = Cluster.Instances[Leader].Files;
+  Files.Capacity = 0;
+  const auto First = Cluster.propose(Leader);
+  Cluster.run(seconds(2));
+  CHECK(Cluster.Refused.contains(*First));
+  CHECK(Cluster.leader() == Leader);
+  CHECK(*Cluster.status(Leader).ProofAge < seconds(1));
+  CHECK_EQUAL(5, Cluster.Instances[Leader].Machine.History.size());
+  Files.Capacity = std::size_t(1) << 20;
+  Cluster.run(seconds(1));
+  Cluster.accept(5);
+  expectConvergence(Cluster, 3);
+}
+
+TEST(ReplicatedLog, aFailedSyncIsFatalAndNothingLeavesTheProcess) {
+  cluster Cluster(Three);
+  Cluster.waitWhole(3);
+  const replica_id Leader = Cluster.leader();
+  auto &Failing = Cluster.Instances[Leader];
+  Failing.Files.FailSync = true;
+  CHECK(Cluster.propose(Leader).has_value());
+  const outputs Out = Failing.Log->flush(Cluster.clockOf(Failing));
+  CHECK(Out.Fatal.has_value());
+  CHECK(Out.Messages.empty());
+  CHECK(!Cluster.propose(Leader).has_value());
+  Cluster.stop(Leader);
+  Failing.Files.FailSync = false;
+  Cluster.accept(3);
+  Cluster.start(Leader);
+  expectConvergence(Cluster, 3);
+}
+
+TEST(ReplicatedLog, leadershipIsHandedOverOnRequest) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const replica_id Target = followerOf(Cluster);
+    const auto Now = Cluster.clockOf(Cluster.Instances[Leader]);
+    CHECK(Cluster.at(Leader).transferLeadership(Target, Now).has_value());
+    CHECK(!Cluster.propose(Leader).has_value());
+    // Far less than an election timeout.
+    Cluster.run(milliseconds(200));
+    CHECK(Cluster.leader() == Target);
+    Cluster.accept(1);
+  }
+}
+
+TEST(ReplicatedLog, aRemovedVoterDisturbsNobodyAndCanReturn) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const replica_id Removed = followerOf(Cluster);
+    const log_term Term = Cluster.status(Leader).Term;
+    const auto Now = [&] { return Cluster.clockOf(Cluster.Instances[Leader]); };
+    CHECK(Cluster.at(Leader).removeVoter(Removed, Now()).has_value());
+    Cluster.accept(3);
+    Cluster.run(seconds(30));
+    CHECK_EQUAL(Term, Cluster.status(Leader).Term);
+    CHECK(Cluster.leader() == Leader);
+    CHECK_EQUAL(2, Cluster.status(Leader).Members.Voters.size());
+    CHECK(Cluster.at(Leader).addVoter(Removed, Now()).has_value());
+    expectConvergence(Cluster, 3);
+  }
+}
+
+TEST(ReplicatedLog, aLeaderCanRemoveItself) {
+  cluster Cluster(Three);
+  Cluster.waitWhole(3);
+  const replica_id Leader = Cluster.leader();
+  CHECK(Cluster.at(Leader)
+            .removeVoter(Leader, Cluster.clockOf(Cluster.Instances[Leader]))
+            .has_value());
+  Cluster.runUntil(
+      [&] { return !Cluster.leader().empty() && Cluster.leader() != Leader; });
+  Cluster.accept(3);
+  CHECK_EQUAL(2, Cluster.status(Cluster.leader()).Members.Voters.size());
+}
+
+TEST(ReplicatedLog, twoMoreVotersAreAddedOneAtATime) {
+  cluster Cluster(Three);
+  Cluster.SnapshotEvery = 20;
+  Cluster.waitWhole(3);
+  Cluster.accept(50);
+  for (const replica_id Added : {"d", "e"}) {
+    Cluster.start(Added);
+    const replica_id Leader = Cluster.leader();
+    const auto Now = Cluster.clockOf(Cluster.Instances[Leader]);
+    CHECK(Cluster.at(Leader).addVoter(Added, Now).has_value());
+    // A second change has to wait for the first.
+    CHECK(!Cluster.at(Leader).removeVoter("a", Now).has_value());
+    Cluster.runUntil([&] { return Cluster.whole(Added == "d" ? 4 : 5); });
+  }
+  Cluster.stop("a");
+  Cluster.stop("b");
+  Cluster.accept(3);
+  Cluster.start("a");
+  Cluster.start("b");
+  expectConvergence(Cluster, 5);
+}
+
+TEST(ReplicatedLog, aReadWaitsForAQuorumAskedAfterIt) {
+  cluster Cluster(Three);
+  Cluster.waitWhole(3);
+  const replica_id Leader = Cluster.leader();
+  auto &Instance = Cluster.Instances[Leader];
+  const auto Finished = [&](ticket Ticket) {
+    const outputs Out = Instance.Log->flush(Cluster.clockOf(Instance));
+    return std::any_of(Out.Completions.begin(), Out.Completions.end(),
+                       [&](const completion &Done) {
+                         return Done.Ticket == Ticket && !Done.Error;
+                       });
+  };
+  Cluster.run(milliseconds(200));
+  const auto Read = Instance.Log->read(Cluster.clockOf(Instance));
+  CHECK(Read.has_value());
+  // Answers to earlier heartbeats don't count.
+  CHECK(!Finished(Read.value()));
+}
+
+TEST(ReplicatedLog, randomFaultsLeaveOneHistory) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.SnapshotEvery = 15;
+    Cluster.waitWhole(3);
+    Cluster.Faults = {.Lost = 50, .Doubled = 50, .MaxDelaySteps = 8};
+    bool DiskLost = false;
+    for (int Round = 0; Round < 60; ++Round) {
+      const replica_id Id = Three[Cluster.Random() % Three.size()];
+      auto &Instance = Cluster.Instances[Id];
+      switch (Cluster.Random() % 8) {
+      case 0:
+        Cluster.isolate(Id);
+        break;
+      case 1:
+        Cluster.Cut.insert({Id, Three[Cluster.Random() % Three.size()]});
+        break;
+      case 2:
+        Cluster.Cut.clear();
+        break;
+      case 3:
+        Instance.Frozen = Instance.Log != nullptr && !Instance.Frozen;
+        break;
+      case 4:
+        Cluster.stop(Id);
+        break;
+      case 5:
+        // No second disk is lost before the first is repaired.
+        DiskLost = DiskLost && !Cluster.whole(3);
+        if (!DiskLost) {
+          DiskLost = Cluster.whole(3);
+          if (DiskLost)
+            Cluster.loseDisk(Id);
+        }
+        break;
+      default:
+        for (const replica_id &Other : Three) {
+          if (!Cluster.Instances[Other].Log)
+            Cluster.start(Other);
+        }
+      }
+      for (const replica_id &Other : Three) {
+        if (Cluster.Instances[Other].Log)
+          (void)Cluster.propose(Other);
+      }
+      Cluster.run(milliseconds(50 + Cluster.Random() % 1500));
+    }
+    for (const replica_id &Id : Three) {
+      if (!Cluster.Instances[Id].Log)
+        Cluster.start(Id);
+      Cluster.Instances[Id].Frozen = false;
+    }
+    expectConvergence(Cluster, 3);
+    CHECK(Cluster.Accepted.size() > 5);
+  }
+}
