Directory: owner of targets, shares and the entry's view of them

Cause: the entry needs shares of each target's limit that hold over all entries, under lost, late and repeated messages. Ruled out: letting the owner's clock alone end a grant in its books. A request started in a grant's last moment would leave the account while it still runs; a grant now leaves it by the entry's next report only. Also ruled out: counting on the handover time alone at a change of owner; grants of the earlier owner live on for grant_ms, so that entries drop them with the view, and the new owner bounds what still runs by the target's count.

--- a/modules/directory/include/fulmar/directory/shareview.h
+++ b/modules/directory/include/fulmar/directory/shareview.h
@@ -40,8 +40,7 @@
   share_view(share_view_options Given, const ownership &Views,
              const freshness &Proofs);
 
-  /// The next request to \p Owner. Every live entry may own targets, so that
-  /// each is asked about every quarter of the grant's validity.
+  /// The next request to \p Owner.
   share_request nextRequest(const base::instance_id &Owner,
                             const router_counters &Counters, base::instant Now);
   /// An answer of \p Owner. Answers to older requests are ignored.
@@ -54,38 +53,62 @@
 
   /// An answer of a target carried \p Seen instead of \p Believed.
   void noteIncarnation(const base::target_id &Target,
-                       const std::string &Believed, const std::string &Seen);
+                       const std::string &Believed, const std::string &Seen,
+                       base::instant Now);
   /// A target broke a connection, became slow suddenly or shed requests within
   /// its share. Removes the permission until the owner grants again.
   void noteSign(const base::target_id &Target, const std::string &Incarnation,
-                observation_kind Kind);
+                observation_kind Kind, base::instant Now);
+
+  /// Live entries, each of which may own targets: ask each about every quarter
+  /// of a grant's validity.
+  [[nodiscard]] std::vector<base::instance_id> owners() const;
 
 private:
-  /// A grant and its end.
   struct held_grant {
     grant Grant;
-    base::instant Until{};
-    base::instant ReportedAt{};
-    /// Answers to requests up to this one can't restore the permission: the
-    /// owner did not know of the sign yet.
-    std::uint64_t BlockedUntil = 0;
+    base::instance_id Owner;
+    base::instant SentAt{};
+  };
+  /// A sign that the owner has not been told of in time for answers to
+  /// requests sent until SeenAt.
+  struct sign {
+    std::string Incarnation;
+    base::instant SeenAt{};
+  };
+  /// Where a target's requests in flight have to be reported.
+  struct source {
+    base::instance_id Owner;
+    base::data_centre_name DataCentre;
+    base::instant UsedAt{};
+  };
+  struct unsent_observation {
+    observation Observation;
+    /// The first request that carried it; 0 before.
+    std::uint64_t Sequence = 0;
   };
   struct owner_state {
     std::uint64_t Sequence = 0;
     std::uint64_t Applied = 0;
+    /// Requests whose answers may still grant something.
     std::map<std::uint64_t, base::instant> SentAt;
-    std::vector<observation> Unsent;
+    std::vector<unsent_observation> Observations;
   };
 
-  void revoke(const base::target_id &Target, const observation &Observation);
+  void note(observation Observation, base::instant Now);
+  void takeGrant(const base::instance_id &Owner, const grant &Grant,
+                 base::instant SentAt, base::instant Now);
   [[nodiscard]] bool concerns(const base::instance_id &Owner,
                               const base::target_id &Target) const;
+  void forgetOld(base::instant Now);
 
   share_view_options Options;
   const ownership &Ownership;
   const freshness &Freshness;
   std::map<base::instance_id, owner_state> Owners;
   std::map<base::target_id, held_grant> Grants;
+  std::map<base::target_id, sign> Signs;
+  std::map<base::target_id, source> Sources;
 };
 
 } // namespace fulmar::directory
--- a/modules/directory/include/fulmar/directory/targetowner.h
+++ b/modules/directory/include/fulmar/directory/targetowner.h
@@ -90,18 +90,22 @@
     std::uint64_t Sequence = 0;
     base::instant HeardAt{};
   };
+  using record_map = std::map<base::target_id, std::unique_ptr<target_record>>;
 
+  [[nodiscard]] const service_policy &
+  policyOf(const target_record &Record) const;
   [[nodiscard]] bool mayAct(const target_record &Record,
                             base::instant Now) const;
-  void notifyWhenChanged(target_record &Record, base::instant Now);
+  bool sampleActing(target_record &Record, base::instant Now);
   void observe(const share_request &Request, base::instant Now);
+  void notifyWhenChanged(target_record &Record, base::instant Now);
 
   target_owner_options Options;
   const ownership &Ownership;
   const freshness &Freshness;
   std::map<base::service_name, service_policy> Policies;
   std::set<base::data_centre_name> OutOfService;
-  std::map<base::target_id, std::unique_ptr<target_record>> Records;
+  record_map Records;
   /// By entry and incarnation.
   std::map<std::string, entry_state> Entries;
 };
--- /dev/null
+++ b/modules/directory/internal/probebudget.h
@@ -0,0 +1,51 @@
+// Token bucket of the target time that measuring may take. It holds nothing
+// at first and whenever its owner did not act for a while, so that owners
+// that follow one another stay within one budget: over any window, all of
+// them together spend at most the budget of the window and of Depth.
+
+#ifndef FULMAR_DIRECTORY_INTERNAL_PROBEBUDGET_H
+#define FULMAR_DIRECTORY_INTERNAL_PROBEBUDGET_H
+
+#include "fulmar/base/time.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace fulmar::directory {
+
+class probe_budget {
+public:
+  /// Unspent budget is kept for this time.
+  static constexpr base::duration Depth = std::chrono::seconds(1);
+  /// The owner has acted without a break for \p Time before now.
+  void earn(base::duration PerSecond, base::duration Time) {
+    Tokens += earned(PerSecond, Time);
+    Tokens = std::min(Tokens, std::max(earned(PerSecond, Depth), Needed));
+  }
+
+  /// The owner did not act for a while.
+  void empty() { Tokens = base::duration(0); }
+
+  /// Spends \p Cost if it is there. A cost above the depth is saved up for.
+  bool take(base::duration Cost) {
+    Needed = std::max(Needed, Cost);
+    if (Tokens < Cost)
+      return false;
+    Tokens -= Cost;
+    return true;
+  }
+
+private:
+  static base::duration earned(base::duration PerSecond, base::duration Time) {
+    constexpr base::duration Second = std::chrono::seconds(1);
+    return base::duration(PerSecond.count() * Time.count() / Second.count());
+  }
+
+  base::duration Tokens{};
+  /// Largest cost that was asked for.
+  base::duration Needed{};
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_INTERNAL_PROBEBUDGET_H
--- /dev/null
+++ b/modules/directory/internal/shareledger.h
@@ -0,0 +1,101 @@
+// The account of one target: how many requests each entry may have in flight
+// there, whatever messages were lost, delayed or repeated.
+//
+// An entry is committed to the larger of its last reported count and of every
+// grant that it may have used since that report was sent. A grant leaves the
+// account only when a report shows that the entry replaced it, or was sent
+// after its end by the entry's own clock. Hence the sum of commitments is at
+// least the number of requests in flight, except those that an entry still
+// runs more than the permission bound after its last report.
+
+#ifndef FULMAR_DIRECTORY_INTERNAL_SHARELEDGER_H
+#define FULMAR_DIRECTORY_INTERNAL_SHARELEDGER_H
+
+#include "fulmar/directory/directorytypes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fulmar::directory {
+
+struct share_ledger_options {
+  permission_policy Permission;
+  base::duration GrantMargin{};
+};
+
+/// One entry's statement about the target.
+struct share_report {
+  std::uint64_t Sequence = 0;
+  std::uint64_t Applied = 0;
+  /// The entry's clock.
+  base::duration SentAt{};
+  std::uint32_t InFlight = 0;
+  /// Absent when the entry does not use the target's service.
+  std::optional<std::uint32_t> Wanted;
+};
+
+class share_ledger {
+public:
+  share_ledger(const share_ledger_options &Given, std::string TargetId);
+
+  /// Takes over a report that is newer than the entry's last one.
+  void onReport(const std::string &Entry, const share_report &Report,
+                base::instant Now);
+
+  /// Grants a share of \p Capacity in answer to \p Report. The sum of
+  /// commitments is not above the capacity afterwards, unless it was before.
+  std::uint32_t grant(const std::string &Entry, const share_report &Report,
+                      std::uint32_t Capacity, base::instant Now);
+
+  /// Requests that entries may have in flight now.
+  [[nodiscard]] std::uint64_t committed(base::instant Now) const;
+  /// Sum of the counts that entries reported last.
+  [[nodiscard]] std::uint64_t reported() const;
+  /// When the last grant ends, at the latest.
+  [[nodiscard]] base::instant lapsesAt() const { return LapsesAt; }
+  /// Whether an entry's next report has to be taken over.
+  [[nodiscard]] bool knows(const std::string &Entry) const {
+    return Accounts.contains(Entry);
+  }
+
+  /// Erases the accounts of entries that vanished.
+  void eraseVanished(base::instant Now);
+
+private:
+  struct given_grant {
+    std::uint64_t Sequence = 0;
+    base::duration SentAt{};
+    std::uint32_t Granted = 0;
+  };
+  struct account {
+    std::uint32_t InFlight = 0;
+    /// Grants that may have been used since the last report was sent.
+    std::vector<given_grant> Given;
+    std::optional<std::uint32_t> Wanted;
+    base::instant HeardAt{};
+    double Pass = 0;
+    std::uint64_t TieBreak = 0;
+    base::instant TurnUntil{};
+  };
+
+  [[nodiscard]] std::uint32_t committedOf(const account &Account,
+                                          base::instant Now) const;
+  [[nodiscard]] std::uint64_t committedExcept(const std::string &Entry,
+                                              base::instant Now) const;
+  [[nodiscard]] bool claims(const account &Account, base::instant Now) const;
+  /// Entitlement of \p Entry, beginning a turn where \p Free allows it.
+  std::uint32_t entitledTo(account &Own, std::uint32_t Capacity,
+                           std::uint32_t Free, base::instant Now);
+
+  share_ledger_options Options;
+  std::string Target;
+  std::map<std::string, account> Accounts;
+  base::instant LapsesAt{};
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_INTERNAL_SHARELEDGER_H
--- /dev/null
+++ b/modules/directory/internal/shareview.cpp
@@ -0,0 +1,180 @@
+// Keeps the owners' latest answers and what has to be told to them.
+
+#include "fulmar/directory/shareview.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmar::directory {
+
+namespace {
+
+/// Time for which the owner of an unused target is remembered.
+constexpr base::duration SourceRetention = std::chrono::minutes(1);
+/// Observations that wait for one owner; further ones are dropped, since the
+/// permission is removed at once in any case.
+constexpr std::size_t MaxObservations = 64;
+
+} // namespace
+
+share_view::share_view(share_view_options Given, const ownership &Views,
+                       const freshness &Proofs)
+    : Options(std::move(Given)), Ownership(Views), Freshness(Proofs) {}
+
+std::vector<base::instance_id> share_view::owners() const {
+  std::vector<base::instance_id> Live;
+  for (const member &Member : Ownership.view().members()) {
+    if (!Member.Stopping)
+      Live.push_back(Member.Id);
+  }
+  return Live;
+}
+
+bool share_view::concerns(const base::instance_id &Owner,
+                          const base::target_id &Target) const {
+  const auto Found = Sources.find(Target);
+  if (Found == Sources.end())
+    return true;
+  return Found->second.Owner == Owner ||
+         Ownership.ownerOf(Target, Found->second.DataCentre) == Owner;
+}
+
+share_request share_view::nextRequest(const base::instance_id &Owner,
+                                      const router_counters &Counters,
+                                      base::instant Now) {
+  owner_state &State = Owners[Owner];
+  share_request Request{.Entry = Options.Self,
+                        .Incarnation = Options.Incarnation,
+                        .Sequence = ++State.Sequence,
+                        .Applied = State.Applied,
+                        .SentAt = Now.time_since_epoch(),
+                        .Demands = Counters.Demands};
+  for (const target_in_flight &InFlight : Counters.InFlight) {
+    const auto Used = Sources.find(InFlight.Target);
+    if (Used != Sources.end())
+      Used->second.UsedAt = Now;
+    if (concerns(Owner, InFlight.Target))
+      Request.InFlight.push_back(InFlight);
+  }
+  for (unsent_observation &Unsent : State.Observations) {
+    if (Unsent.Sequence == 0)
+      Unsent.Sequence = State.Sequence;
+    Request.Observations.push_back(Unsent.Observation);
+  }
+  State.SentAt[State.Sequence] = Now;
+  forgetOld(Now);
+  return Request;
+}
+
+void share_view::forgetOld(base::instant Now) {
+  for (auto &[Owner, State] : Owners)
+    std::erase_if(State.SentAt, [&](const auto &Sent) {
+      return Now - Sent.second > Options.Permission.Grant;
+    });
+  std::erase_if(Signs, [&](const auto &Sign) {
+    return Now - Sign.second.SeenAt > Options.Permission.Grant;
+  });
+  std::erase_if(Grants, [&](const auto &Held) {
+    return Now - Held.second.SentAt > Options.Permission.Grant;
+  });
+  std::erase_if(Sources, [&](const auto &Source) {
+    return Now - Source.second.UsedAt > SourceRetention;
+  });
+}
+
+void share_view::onAnswer(const base::instance_id &Owner,
+                          const share_answer &Answer, base::instant Now) {
+  owner_state &State = Owners[Owner];
+  const auto Sent = State.SentAt.find(Answer.Sequence);
+  if (Sent == State.SentAt.end() || Answer.Sequence <= State.Applied)
+    return;
+  const base::instant SentAt = Sent->second;
+  State.Applied = Answer.Sequence;
+  State.SentAt.erase(State.SentAt.begin(), std::next(Sent));
+  std::erase_if(State.Observations, [&](const unsent_observation &Unsent) {
+    return Unsent.Sequence != 0 && Unsent.Sequence <= Answer.Sequence;
+  });
+  std::erase_if(Grants,
+                [&](const auto &Held) { return Held.second.Owner == Owner; });
+  for (const grant &Grant : Answer.Grants)
+    takeGrant(Owner, Grant, SentAt, Now);
+}
+
+void share_view::takeGrant(const base::instance_id &Owner, const grant &Grant,
+                           base::instant SentAt, base::instant Now) {
+  Sources[Grant.Target] = {
+      .Owner = Owner, .DataCentre = Grant.DataCentre, .UsedAt = Now};
+  const auto Sign = Signs.find(Grant.Target);
+  if (Sign != Signs.end() && Sign->second.Incarnation == Grant.Incarnation &&
+      SentAt <= Sign->second.SeenAt)
+    return;
+  held_grant &Held = Grants[Grant.Target];
+  if (Held.SentAt <= SentAt)
+    Held = {.Grant = Grant, .Owner = Owner, .SentAt = SentAt};
+}
+
+std::vector<routing::candidate>
+share_view::candidates(const base::service_name &Service,
+                       base::instant Now) const {
+  std::vector<routing::candidate> Usable;
+  if (!Freshness.mayStartWork(Now))
+    return Usable;
+  const base::duration Validity = Options.Permission.Grant - Options.ListAge;
+  for (const auto &[Target, Held] : Grants) {
+    const grant &Grant = Held.Grant;
+    // Grants of an earlier owner end with the change of view, so that they do
+    // not add to those of its successor.
+    if (Grant.Service != Service || Grant.Granted == 0 ||
+        Now - Held.SentAt >= Validity ||
+        !Ownership.view().inService(Grant.DataCentre) ||
+        Ownership.ownerOf(Target, Grant.DataCentre) != Held.Owner)
+      continue;
+    Usable.push_back({.Target = Target,
+                      .Address = Grant.Address,
+                      .DataCentre = Grant.DataCentre,
+                      .Incarnation = Grant.Incarnation,
+                      .Granted = Grant.Granted,
+                      .ReportedLoad = Grant.Load,
+                      .ReportAge = Grant.ReportAge + (Now - Held.SentAt)});
+  }
+  return Usable;
+}
+
+void share_view::noteIncarnation(const base::target_id &Target,
+                                 const std::string &Believed,
+                                 const std::string &Seen, base::instant Now) {
+  if (Seen == Believed)
+    return;
+  note({.Target = Target,
+        .Incarnation = Believed,
+        .Kind = observation_kind::IncarnationDiffers,
+        .Seen = Seen},
+       Now);
+}
+
+void share_view::noteSign(const base::target_id &Target,
+                          const std::string &Incarnation, observation_kind Kind,
+                          base::instant Now) {
+  note({.Target = Target, .Incarnation = Incarnation, .Kind = Kind}, Now);
+}
+
+void share_view::note(observation Observation, base::instant Now) {
+  const auto Held = Grants.find(Observation.Target);
+  if (Held != Grants.end() &&
+      Held->second.Grant.Incarnation == Observation.Incarnation)
+    Grants.erase(Held);
+  Signs[Observation.Target] = {.Incarnation = Observation.Incarnation,
+                               .SeenAt = Now};
+  const auto Source = Sources.find(Observation.Target);
+  if (Source == Sources.end())
+    return;
+  auto &Waiting = Owners[Source->second.Owner].Observations;
+  const bool Known = std::any_of(Waiting.begin(), Waiting.end(),
+                                 [&](const unsent_observation &Unsent) {
+                                   return Unsent.Observation == Observation;
+                                 });
+  if (!Known && Waiting.size() < MaxObservations)
+    Waiting.push_back({.Observation = std::move(Observation)});
+}
+
+} // namespace fulmar::directory
--- /dev/null
+++ b/modules/directory/internal/takeover.h
@@ -0,0 +1,52 @@
+// What a new owner does not know yet: requests in flight that were started
+// under an earlier owner by entries that do not report to this one. While a
+// target changes hands nobody starts new work there, so that their number is
+// bounded by what the target itself counts, less what entries report after it.
+
+#ifndef FULMAR_DIRECTORY_INTERNAL_TAKEOVER_H
+#define FULMAR_DIRECTORY_INTERNAL_TAKEOVER_H
+
+#include "fulmar/base/time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace fulmar::directory {
+
+struct takeover_options {
+  /// Announcements that arrive sooner may have been sent before the target
+  /// changed hands.
+  base::duration Transit = std::chrono::milliseconds(100);
+  /// Every entry reports within this time.
+  base::duration ReportInterval = std::chrono::seconds(1);
+  /// Requests in flight do not outlive this.
+  base::duration LongestRequest = std::chrono::minutes(1);
+};
+
+class takeover {
+public:
+  explicit takeover(const takeover_options &Given) : Options(Given) {}
+
+  /// The instance begins to act as the target's owner.
+  void begin(base::instant Now);
+  /// An announcement with the target's own count of requests in flight.
+  void onAnnouncement(std::uint32_t InFlight, base::instant Now);
+
+  /// Requests in flight beyond those in \p Reported, the sum of the entries'
+  /// reports; empty while not known.
+  std::optional<std::uint32_t> unreported(std::uint64_t Reported,
+                                          base::instant Now);
+
+private:
+  takeover_options Options;
+  base::instant BeganAt{};
+  std::optional<std::uint32_t> Counted;
+  base::instant CountedAt{};
+  /// Only shrinks, because nobody starts new unreported work.
+  std::optional<std::uint32_t> Bound;
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_INTERNAL_TAKEOVER_H
--- /dev/null
+++ b/modules/directory/internal/targetrecord.cpp
@@ -0,0 +1,205 @@
+// State changes of one target.
+
+#include "targetrecord.h"
+
+#include <algorithm>
+
+namespace fulmar::directory {
+
+namespace {
+
+/// Former incarnations that late announcements and reports are checked with.
+constexpr std::size_t MaxFormer = 8;
+/// Requests in flight that a target is given first when it may have turned
+/// cold unannounced, or when its data centre returns.
+constexpr std::uint32_t FirstRequests = 1;
+constexpr std::uint64_t MaxLimit = 1000000;
+/// Samples of acting that lie further apart prove nothing of the time between
+/// them.
+constexpr base::duration MaxSampleGap = std::chrono::seconds(1);
+
+std::uint32_t limitOf(const announcement &Announced,
+                      const service_policy &Policy) {
+  return static_cast<std::uint32_t>(std::min(
+      std::uint64_t{Announced.Slots} * Policy.InFlightPerSlot, MaxLimit));
+}
+
+} // namespace
+
+target_record::target_record(const target_owner_options &Given,
+                             const announcement &First, base::instant Now)
+    : Ledger({.Permission = Given.Permission, .GrantMargin = Given.GrantMargin},
+             First.Id.str()),
+      Options(Given), Takeover({.Transit = Given.GrantMargin,
+                                .ReportInterval = Given.Permission.Grant}),
+      Last(First), HeardAt(Now), Load(First.Load), LoadAt(Now) {
+  Ramp.restart(First.Bears, Now);
+}
+
+bool target_record::expired(base::instant Now) const {
+  return Now - HeardAt > Options.Permission.AnnouncementLease;
+}
+
+bool target_record::isFormer(const std::string &Incarnation) const {
+  return std::any_of(Former.begin(), Former.end(), [&](const auto &Known) {
+    return Known.Incarnation == Incarnation;
+  });
+}
+
+bool target_record::isLate(const announcement &Announcement,
+                           base::instant Now) const {
+  if (Announcement.Incarnation == Last.Incarnation)
+    return Announcement.Sequence != 0 && Announcement.Sequence <= Last.Sequence;
+  // A former incarnation is believed again only after the present one has
+  // fallen silent, in case their announcements had changed places.
+  return !expired(Now) && isFormer(Announcement.Incarnation);
+}
+
+void target_record::onAnnouncement(const announcement &Announcement,
+                                   base::instant Now) {
+  if (isLate(Announcement, Now))
+    return;
+  const bool Anew = Announcement.Incarnation != Last.Incarnation ||
+                    Announcement.Address != Last.Address || expired(Now);
+  if (Anew)
+    beginIncarnation(Announcement, Now);
+  else
+    continueIncarnation(Announcement, Now);
+  HeardAt = Now;
+  Load = Announcement.Load;
+  LoadAt = Now;
+  Takeover.onAnnouncement(Announcement.InFlight, Now);
+}
+
+void target_record::sampleActing(bool Acting, const service_policy &Policy,
+                                 base::instant Now) {
+  const bool Continues = Acting && ActedAt && Now - *ActedAt <= MaxSampleGap;
+  if (Continues)
+    Probes.earn(Policy.ProbeBudgetPerSecond, Now - *ActedAt);
+  else
+    Probes.empty();
+  if (Acting && !Continues)
+    Takeover.begin(Now);
+  ActedAt = Acting ? std::optional(Now) : std::nullopt;
+}
+
+void target_record::beginIncarnation(const announcement &Announcement,
+                                     base::instant Now) {
+  if (Announcement.Incarnation != Last.Incarnation) {
+    Former.push_back({Last.Incarnation, Last.Address});
+    if (Former.size() > MaxFormer)
+      Former.pop_front();
+  }
+  Last = Announcement;
+  NoGrantBefore = std::max(NoGrantBefore, Ledger.lapsesAt());
+  Suspected = false;
+  Ramp.restart(Last.Bears, Now);
+}
+
+void target_record::continueIncarnation(const announcement &Announcement,
+                                        base::instant Now) {
+  const target_state Before = Last.State;
+  const std::uint32_t BoreBefore = Last.Bears;
+  Last = Announcement;
+  if (Before == target_state::Draining)
+    Last.State = target_state::Draining;
+  if (Before == target_state::Cold && Last.State == target_state::Warm)
+    Ramp.restart(BoreBefore, Now);
+  if (Suspected && Now >= NoGrantBefore) {
+    Suspected = false;
+    Ramp.restart(std::min(FirstRequests, Last.Bears), Now);
+  }
+}
+
+void target_record::suspect(const observation &Observation, base::instant Now) {
+  const bool Differs = Observation.Kind == observation_kind::IncarnationDiffers;
+  if (Differs && isFormer(Observation.Seen))
+    return;
+  Suspected = true;
+  NoGrantBefore = std::max(NoGrantBefore, Ledger.lapsesAt());
+  // The other incarnation is about to announce itself.
+  if (Differs)
+    NoGrantBefore =
+        std::max(NoGrantBefore, Now + Options.Permission.AnnouncementLease);
+}
+
+void target_record::onObservation(const observation &Observation,
+                                  const service_policy &Policy,
+                                  base::instant Now) {
+  if (Observation.Incarnation != Last.Incarnation)
+    return;
+  if (Observation.Kind == observation_kind::Reset ||
+      Observation.Kind == observation_kind::IncarnationDiffers) {
+    suspect(Observation, Now);
+    return;
+  }
+  // Several entries report the same event; it counts once.
+  if (Now - LoweredAt < Options.Permission.Grant)
+    return;
+  LoweredAt = Now;
+  Ramp.restart(std::max(FirstRequests, capacity(Policy, Now) / 2), Now);
+}
+
+void target_record::onLoad(const std::string &Incarnation, double Reported,
+                           base::instant Now) {
+  if (Incarnation != Last.Incarnation)
+    return;
+  Load = Reported;
+  LoadAt = Now;
+}
+
+void target_record::setInService(bool Serves, base::instant Now) {
+  if (Serves && !InService)
+    Ramp.restart(std::min(FirstRequests, Last.Bears), Now);
+  InService = Serves;
+}
+
+std::uint32_t target_record::capacity(const service_policy &Policy,
+                                      base::instant Now) const {
+  if (!InService || Suspected || expired(Now) || Now < NoGrantBefore ||
+      Last.State == target_state::Draining)
+    return 0;
+  const std::uint32_t Limit = limitOf(Last, Policy);
+  if (Last.State == target_state::Cold)
+    return std::min(Last.Bears, Limit);
+  return Ramp.at(Limit, Policy.ColdRamp, Now);
+}
+
+std::uint32_t target_record::grantable(const service_policy &Policy,
+                                       base::instant Now) {
+  const auto Unreported = Takeover.unreported(Ledger.reported(), Now);
+  const std::uint32_t Capacity = capacity(Policy, Now);
+  return Unreported && *Unreported < Capacity ? Capacity - *Unreported : 0;
+}
+
+bool target_record::mayBeHere(const std::string &Incarnation) const {
+  const auto Found =
+      std::find_if(Former.rbegin(), Former.rend(), [&](const auto &Known) {
+        return Known.Incarnation == Incarnation;
+      });
+  return Found == Former.rend() || Found->Address == Last.Address;
+}
+
+grant target_record::grantOf(std::uint32_t Granted, base::instant Now) const {
+  return {.Target = Last.Id,
+          .Service = Last.Service,
+          .DataCentre = Last.DataCentre,
+          .Address = Last.Address,
+          .Incarnation = Last.Incarnation,
+          .State = Last.State,
+          .Granted = Granted,
+          .Load = Load,
+          .ReportAge = std::max(Now - LoadAt, base::duration(0))};
+}
+
+target_status target_record::status(const service_policy &Policy,
+                                    base::instant Now) const {
+  return {.Announced = Last,
+          .Capacity = capacity(Policy, Now),
+          .Committed = static_cast<std::uint32_t>(
+              std::min<std::uint64_t>(Ledger.committed(Now), MaxLimit)),
+          .Suspected = Suspected,
+          .Expired = expired(Now)};
+}
+
+} // namespace fulmar::directory
--- /dev/null
+++ b/modules/directory/tests/fakecluster.cpp
@@ -0,0 +1,357 @@
+// The made-up network and the shells around the directory's decisions.
+
+#include "fakecluster.h"
+
+#include <json/writer.h>
+
+#include <algorithm>
+
+namespace fulmar::directory {
+
+namespace {
+
+constexpr base::duration Step = milliseconds(20);
+constexpr base::duration SyncInterval = milliseconds(250);
+constexpr base::duration AnnounceInterval = milliseconds(500);
+constexpr base::duration ProbeCost = milliseconds(6);
+const base::service_name Service("registry");
+
+std::string dataCentreOf(int Index) { return "dc" + std::to_string(Index % 2); }
+
+std::string addressOf(int Port) { return "10.0.0.1:" + std::to_string(Port); }
+
+} // namespace
+
+fake_cluster::fake_cluster(const cluster_options &Given)
+    : Options(Given), Random(Given.Seed) {
+  for (int Index = 0; Index < Options.Entries; ++Index) {
+    Entries.push_back(nullptr);
+    startProcess(Index);
+  }
+  for (int Index = 0; Index < Options.Targets; ++Index) {
+    fake_target Target;
+    Target.Said = {.Id = base::target_id("t" + std::to_string(Index)),
+                   .Service = Service,
+                   .DataCentre = base::data_centre_name(dataCentreOf(Index)),
+                   .Address = addressOf(9000 + Index),
+                   .Incarnation = "i0",
+                   .State = target_state::Cold,
+                   .Slots = Options.Slots,
+                   .Bears = Options.ColdBears};
+    Targets.push_back(Target);
+  }
+}
+
+void fake_cluster::publish(const std::string &Key, const std::string &Value) {
+  Control.put(Key, Value, ++Serial);
+}
+
+void fake_cluster::startProcess(int Index) {
+  auto Entry = std::make_unique<fake_entry>(Options.Permission.Permission);
+  Entry->Id = base::instance_id("e" + std::to_string(Index));
+  Entry->Incarnation = "p" + std::to_string(++Incarnations);
+  Entry->Ownership = std::make_unique<ownership>(
+      ownership_options{.Self = Entry->Id,
+                        .Incarnation = Entry->Incarnation,
+                        .Handover = Options.Permission.Permission});
+  Entry->Owner = std::make_unique<target_owner>(
+      target_owner_options{.Permission = Options.Permission}, *Entry->Ownership,
+      Entry->Freshness);
+  Entry->Owner->setPolicy(Service, Options.Policy);
+  Entry->Shares = std::make_unique<share_view>(
+      share_view_options{.Self = Entry->Id,
+                         .Incarnation = Entry->Incarnation,
+                         .Permission = Options.Permission},
+      *Entry->Ownership, Entry->Freshness);
+  Entry->NextSync = Now + milliseconds(below(250));
+  Entries[Index] = std::move(Entry);
+  setMember(Index, true);
+}
+
+void fake_cluster::setMember(int Index, bool Present) {
+  const fake_entry &Entry = *Entries[Index];
+  const member Member{.Id = Entry.Id,
+                      .Incarnation = Entry.Incarnation,
+                      .DataCentre = base::data_centre_name(dataCentreOf(Index)),
+                      .Address = addressOf(8000 + Index),
+                      .RpcAddress = addressOf(7000 + Index)};
+  const std::string Value =
+      Present ? Json::writeString(Json::StreamWriterBuilder(), toJson(Member))
+              : "";
+  publish(publication::MemberPrefix + Entry.Id.str(), Value);
+}
+
+void fake_cluster::setDataCentre(const std::string &Name, bool In) {
+  publish(publication::DataCentrePrefix + Name,
+          In ? R"({"state":"in"})" : R"({"state":"out"})");
+}
+
+void fake_cluster::restartEntry(int Index) {
+  // The connections of the process close with it.
+  for (const running_request &Request : Entries[Index]->Running) {
+    fake_target &Target = Targets[Request.Target];
+    if (Target.Said.Incarnation == Request.Actual)
+      --Target.InFlight;
+  }
+  startProcess(Index);
+}
+
+void fake_cluster::restartTarget(int Index) {
+  fake_target &Target = Targets[Index];
+  Target.Said.Incarnation = "i" + std::to_string(++Incarnations);
+  Target.Said.State = target_state::Cold;
+  Target.Said.Bears = Options.ColdBears;
+  Target.InFlight = 0;
+  Target.KnownSince = base::instant::max();
+  Target.NextAnnouncement = Now + AnnounceInterval;
+}
+
+void fake_cluster::setState(int Index, target_state State) {
+  Targets[Index].Said.State = State;
+  Targets[Index].KnownSince = base::instant::max();
+}
+
+bool fake_cluster::reachable(int Entry) const {
+  return Entry == ControlIndex || (Now >= Entries[Entry]->CutUntil &&
+                                   Now >= Entries[Entry]->FrozenUntil);
+}
+
+void fake_cluster::send(int From, int To, std::function<void()> Deliver) {
+  const int Copies = percent() < Options.Repeat ? 2 : 1;
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    if (percent() < Options.Loss)
+      continue;
+    const base::duration Delay(
+        below(static_cast<int>(Options.MaxDelay.count())));
+    Network.emplace(Now + Delay, [this, From, To, Deliver] {
+      // A frozen process reads what waited for it when it wakes up.
+      const bool Frozen = To >= 0 && Now < Entries[To]->FrozenUntil;
+      if (Frozen)
+        Network.emplace(Entries[To]->FrozenUntil, Deliver);
+      else if (reachable(To) &&
+               (From == ControlIndex || Now >= Entries[From]->CutUntil))
+        Deliver();
+    });
+  }
+}
+
+void fake_cluster::deliverDue() {
+  while (!Network.empty() && Network.begin()->first <= Now) {
+    const auto Deliver = std::move(Network.begin()->second);
+    Network.erase(Network.begin());
+    Deliver();
+  }
+}
+
+void fake_cluster::syncWithControl(int Index) {
+  const fake_entry &Entry = *Entries[Index];
+  send(Index, ControlIndex,
+       [this, Index, Process = Entry.Incarnation, Asked = Now,
+        Known = Entry.Items.latest()] {
+         const auto Age = base::duration(0);
+         send(ControlIndex, Index,
+              [this, Index, Process, Asked, Age,
+               Changes = Control.changesSince(Known)] {
+                if (Entries[Index]->Incarnation == Process)
+                  onControlAnswer(Index, Changes, Asked, Age);
+              });
+       });
+}
+
+void fake_cluster::onControlAnswer(int Index,
+                                   const publication::changes &Changes,
+                                   base::instant SentAt, base::duration Age) {
+  fake_entry &Entry = *Entries[Index];
+  const publication::serial Before = Entry.Items.latest();
+  if (!Entry.Items.merge(Changes).has_value())
+    return;
+  if (Entry.Items.latest() != Before) {
+    Entry.Ownership->onMembership(
+        std::make_shared<const membership>(membership::fromItems(Entry.Items)),
+        changesSince(Entry.Items, Before), Now);
+    Entry.Owner->setOutOfService(Entry.Ownership->view().outOfService(), Now);
+  }
+  Entry.Freshness.onAnswer(SentAt, Age);
+}
+
+int fake_cluster::indexOf(const base::instance_id &Id) const {
+  return std::stoi(Id.str().substr(1));
+}
+
+router_counters fake_cluster::countersOf(const fake_entry &Entry) const {
+  router_counters Counters;
+  Counters.Demands.push_back({Service, Entry.Wanted});
+  std::map<std::pair<int, std::string>, std::uint32_t> Counts;
+  for (const running_request &Request : Entry.Running)
+    ++Counts[{Request.Target, Request.Believed}];
+  for (const auto &[Key, Count] : Counts)
+    Counters.InFlight.push_back(
+        {Targets[Key.first].Said.Id, Key.second, Count});
+  return Counters;
+}
+
+void fake_cluster::syncShares(int Index) {
+  fake_entry &Entry = *Entries[Index];
+  for (const base::instance_id &Id : Entry.Shares->owners()) {
+    const int To = indexOf(Id);
+    const auto Request = Entry.Shares->nextRequest(Id, countersOf(Entry), Now);
+    send(Index, To, [this, Index, To, Request, Id] {
+      const auto Answer = Entries[To]->Owner->onShareRequest(
+          shareRequestFromJson(toJson(Request)).value(), Now);
+      if (!Answer.has_value())
+        return;
+      send(To, Index,
+           [this, Index, Id, Process = Request.Incarnation,
+            Json = toJson(Answer.value())] {
+             if (Entries[Index]->Incarnation == Process)
+               Entries[Index]->Shares->onAnswer(
+                   Id, shareAnswerFromJson(Json).value(), Now);
+           });
+    });
+  }
+}
+
+void fake_cluster::announce(int Index) {
+  fake_target &Target = Targets[Index];
+  Target.NextAnnouncement = Now + AnnounceInterval;
+  ++Target.Said.Sequence;
+  Target.Said.InFlight = Target.InFlight;
+  // The load that it reports says nothing.
+  Target.Said.Load = percent() / 100.0;
+  const int Relay = below(Options.Entries);
+  send(ControlIndex, Relay, [this, Relay, Said = Target.Said] {
+    const auto Owner =
+        Entries[Relay]->Ownership->ownerOf(Said.Id, Said.DataCentre);
+    if (!Owner)
+      return;
+    const int To = indexOf(*Owner);
+    send(Relay, To,
+         [this, To, Said] { Entries[To]->Owner->onAnnouncement(Said, Now); });
+  });
+}
+
+void fake_cluster::finishRequests(int Index) {
+  fake_entry &Entry = *Entries[Index];
+  std::erase_if(Entry.Running, [&](const running_request &Request) {
+    fake_target &Target = Targets[Request.Target];
+    const bool Broken = Target.Said.Incarnation != Request.Actual;
+    if (!Broken && Now < Request.End)
+      return false;
+    if (Broken)
+      Entry.Shares->noteSign(Target.Said.Id, Request.Believed,
+                             observation_kind::Reset, Now);
+    else
+      --Target.InFlight;
+    if (!Broken && Request.Actual != Request.Believed)
+      Entry.Shares->noteIncarnation(Target.Said.Id, Request.Believed,
+                                    Request.Actual, Now);
+    ++Entry.Served;
+    return true;
+  });
+}
+
+std::uint32_t fake_cluster::bears(int Index) const {
+  const announcement &Said = Targets[Index].Said;
+  return Said.State == target_state::Cold
+             ? Said.Bears
+             : Said.Slots * Options.Policy.InFlightPerSlot;
+}
+
+void fake_cluster::startRequests(int Index) {
+  fake_entry &Entry = *Entries[Index];
+  for (const routing::candidate &Candidate :
+       Entry.Shares->candidates(Service, Now)) {
+    const int Target = std::stoi(Candidate.Target.str().substr(1));
+    const auto Own = std::count_if(
+        Entry.Running.begin(), Entry.Running.end(),
+        [&](const auto &Request) { return Request.Target == Target; });
+    for (auto Free = static_cast<long>(Candidate.Granted) - Own;
+         Free > 0 && Entry.Running.size() < Entry.Wanted; --Free)
+      arrive(Entry, Target, Candidate.Incarnation);
+  }
+}
+
+void fake_cluster::arrive(fake_entry &Entry, int Index,
+                          const std::string &Believed) {
+  fake_target &Target = Targets[Index];
+  ++Target.InFlight;
+  ++Arrivals;
+  Target.LastArrival = Now;
+  const base::duration Length(
+      1000 + below(static_cast<int>(Options.MaxService.count())));
+  Entry.Running.push_back(
+      {Index, Believed, Target.Said.Incarnation, Now + Length});
+  const base::duration Grant = Options.Permission.Grant;
+  const bool Known = Target.KnownSince < Now - Grant;
+  const bool Draining = Target.Said.State == target_state::Draining;
+  if (Known && (Draining || Target.InFlight > bears(Index)))
+    Fault = Target.Said.Id.str() + " bears " + std::to_string(bears(Index)) +
+            " and received " + std::to_string(Target.InFlight);
+}
+
+void fake_cluster::probe(int Index) {
+  for (const base::target_id &Id : Entries[Index]->Owner->actingFor(Now)) {
+    if (Entries[Index]->Owner->takeProbe(Id, ProbeCost, Now))
+      Targets[std::stoi(Id.str().substr(1))].Probes.emplace_back(Now,
+                                                                 ProbeCost);
+  }
+}
+
+int fake_cluster::actingOwners(int Index) const {
+  const announcement &Said = Targets[Index].Said;
+  return static_cast<int>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const auto &Entry) {
+        return Now >= Entry->FrozenUntil &&
+               Entry->Ownership->mayAct(Said.Id, Said.DataCentre,
+                                        Entry->Freshness, Now);
+      }));
+}
+
+void fake_cluster::noteKnowledge() {
+  for (fake_target &Target : Targets) {
+    for (const auto &Entry : Entries) {
+      if (!Entry->Ownership->mayAct(Target.Said.Id, Target.Said.DataCentre,
+                                    Entry->Freshness, Now))
+        continue;
+      bool Knows = false;
+      for (const target_status &Status : Entry->Owner->status(Now))
+        Knows =
+            Knows || (Status.Announced.Id == Target.Said.Id &&
+                      Status.Announced.Incarnation == Target.Said.Incarnation &&
+                      Status.Announced.State == Target.Said.State &&
+                      Status.Announced.Bears <= Target.Said.Bears);
+      if (!Knows)
+        Target.KnownSince = base::instant::max();
+      else if (Target.KnownSince == base::instant::max())
+        Target.KnownSince = Now;
+    }
+  }
+}
+
+void fake_cluster::run(base::duration Time) {
+  for (const base::instant End = Now + Time; Now < End && Fault.empty();) {
+    Now += Step;
+    deliverDue();
+    noteKnowledge();
+    for (int Index = 0; Index < Options.Targets; ++Index)
+      if (Targets[Index].Alive && Now >= Targets[Index].NextAnnouncement)
+        announce(Index);
+    for (int Index = 0; Index < Options.Entries; ++Index) {
+      fake_entry &Entry = *Entries[Index];
+      if (Now < Entry.FrozenUntil)
+        continue;
+      finishRequests(Index);
+      startRequests(Index);
+      Entry.Owner->tick(Now);
+      probe(Index);
+      if (Now < Entry.NextSync)
+        continue;
+      Entry.NextSync = Now + SyncInterval;
+      syncWithControl(Index);
+      syncShares(Index);
+    }
+    Check();
+  }
+}
+
+} // namespace fulmar::directory
--- /dev/null
+++ b/modules/directory/tests/fakecluster.h
@@ -0,0 +1,140 @@
+// Entries, targets and a control instance joined by a network that loses,
+// delays, reorders and repeats messages, all in one thread with made-up time.
+
+#ifndef FULMAR_DIRECTORY_TESTS_FAKECLUSTER_H
+#define FULMAR_DIRECTORY_TESTS_FAKECLUSTER_H
+
+#include "fulmar/directory/freshness.h"
+#include "fulmar/directory/ownership.h"
+#include "fulmar/directory/shareview.h"
+#include "fulmar/directory/targetowner.h"
+#include "fulmar/publication/publisheditems.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::directory {
+
+using std::chrono::milliseconds;
+
+struct cluster_options {
+  std::uint64_t Seed = 1;
+  int Entries = 5;
+  int Targets = 3;
+  std::uint32_t Slots = 4;
+  std::uint32_t ColdBears = 1;
+  /// Percent of messages lost and repeated.
+  unsigned Loss = 5;
+  unsigned Repeat = 5;
+  base::duration MaxDelay = milliseconds(60);
+  base::duration MaxService = milliseconds(1500);
+  service_policy Policy{.ColdRamp = milliseconds(2000)};
+  permission_policy Permission;
+};
+
+/// A target that counts its own requests in flight.
+struct fake_target {
+  announcement Said;
+  bool Alive = true;
+  std::uint32_t InFlight = 0;
+  /// Since when the acting owner's record shows this state.
+  base::instant KnownSince = base::instant::max();
+  /// Last time at which new work arrived.
+  base::instant LastArrival{};
+  std::vector<std::pair<base::instant, base::duration>> Probes;
+  base::instant NextAnnouncement{};
+};
+
+struct running_request {
+  int Target = 0;
+  std::string Believed;
+  std::string Actual;
+  base::instant End{};
+};
+
+/// One entry process.
+struct fake_entry {
+  base::instance_id Id;
+  std::string Incarnation;
+  publication::published_items Items;
+  freshness Freshness;
+  std::unique_ptr<ownership> Ownership;
+  std::unique_ptr<target_owner> Owner;
+  std::unique_ptr<share_view> Shares;
+  std::vector<running_request> Running;
+  std::uint32_t Wanted = 4;
+  base::instant FrozenUntil{};
+  /// Cut off from everything until then.
+  base::instant CutUntil{};
+  base::instant NextSync{};
+  std::uint64_t Served = 0;
+
+  explicit fake_entry(base::duration Permission) : Freshness(Permission) {}
+};
+
+class fake_cluster {
+public:
+  explicit fake_cluster(const cluster_options &Given);
+
+  /// Runs for \p Time in steps, calling Check after each.
+  void run(base::duration Time);
+  std::function<void()> Check = [] {};
+
+  void restartEntry(int Index);
+  void setMember(int Index, bool Present);
+  void setDataCentre(const std::string &Name, bool In);
+  /// The process dies and comes back at the same address, saying nothing.
+  void restartTarget(int Index);
+  void setState(int Index, target_state State);
+
+  [[nodiscard]] base::instant now() const { return Now; }
+  [[nodiscard]] int actingOwners(int Target) const;
+  [[nodiscard]] std::uint32_t bears(int Target) const;
+  [[nodiscard]] bool reachable(int Entry) const;
+  unsigned percent() { return std::uniform_int_distribution(0U, 99U)(Random); }
+  int below(int Limit) {
+    return std::uniform_int_distribution(0, Limit - 1)(Random);
+  }
+
+  cluster_options Options;
+  std::vector<std::unique_ptr<fake_entry>> Entries;
+  std::vector<fake_target> Targets;
+  /// First broken promise; empty while all hold.
+  std::string Fault;
+  std::uint64_t Arrivals = 0;
+
+private:
+  void send(int From, int To, std::function<void()> Deliver);
+  void deliverDue();
+  void publish(const std::string &Key, const std::string &Value);
+  void startProcess(int Index);
+  void syncWithControl(int Index);
+  void onControlAnswer(int Index, const publication::changes &Changes,
+                       base::instant SentAt, base::duration Age);
+  void syncShares(int Index);
+  [[nodiscard]] router_counters countersOf(const fake_entry &Entry) const;
+  void announce(int Index);
+  void finishRequests(int Index);
+  void startRequests(int Index);
+  void arrive(fake_entry &Entry, int Target, const std::string &Believed);
+  void probe(int Index);
+  void noteKnowledge();
+  [[nodiscard]] int indexOf(const base::instance_id &Id) const;
+
+  static constexpr int ControlIndex = -1;
+  std::mt19937_64 Random;
+  base::instant Now{std::chrono::seconds(1000)};
+  publication::published_items Control;
+  publication::serial Serial = 0;
+  std::uint64_t Incarnations = 0;
+  std::multimap<base::instant, std::function<void()>> Network;
+};
+
+} // namespace fulmar::directory
+
+#endif // FULMAR_DIRECTORY_TESTS_FAKECLUSTER_H
