Route requests: picking, admission, retry budget and verdicts

Cause: no module decided which target gets a request. The router is a state machine per service; time comes with each event. A request that waits is answered exactly once. Ruled out: a queue per target, because a waiter could then miss room at another target.

--- a/modules/routing/include/fulmar/routing/routingtypes.h
+++ b/modules/routing/include/fulmar/routing/routingtypes.h
@@ -48,6 +48,9 @@
   base::instant Deadline{};
   /// 0 is the most important.
   std::uint8_t Priority = 0;
+  /// The caller or a level above marked the request as a retry or a hedge
+  /// (RetryHeader). It is then not sent again here.
+  bool RetryOfCaller = false;
 
   friend auto operator<=>(const request_profile &,
                           const request_profile &) = default;
@@ -81,6 +84,8 @@
   /// HTTP status; 0 without an answer.
   int Status = 0;
   base::duration Elapsed{};
+  /// The answer carried FinalHeader: a level below has used up its retries.
+  bool FinalBelow = false;
 
   friend auto operator<=>(const attempt &, const attempt &) = default;
 };
--- /dev/null
+++ b/modules/routing/internal/serviceobserving.cpp
@@ -0,0 +1,95 @@
+// What the end of an attempt says about its target.
+
+#include "internal/servicerouter.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fulmar::routing {
+
+namespace {
+
+constexpr int FirstServerError = 500;
+/// Time for which nothing is sent to a target whose connection broke: long
+/// enough for its leaseholder's answer to arrive and older grants to end.
+constexpr base::duration SuspensionAfterBreak = std::chrono::seconds(1);
+constexpr std::size_t MaxObservations = 1024;
+
+constexpr std::array<attempt_quality, 7> Qualities = {
+    attempt_quality::Good,      // Answered
+    attempt_quality::Break,     // NotConnected
+    attempt_quality::Error,     // Refused
+    attempt_quality::Break,     // Broken
+    attempt_quality::Error,     // TimedOut
+    attempt_quality::Break,     // Truncated
+    attempt_quality::Cancelled, // Cancelled
+};
+
+attempt_quality qualityOf(const attempt &Attempt) {
+  if (Attempt.End == attempt_end::Answered &&
+      Attempt.Status >= FirstServerError)
+    return attempt_quality::Error;
+  return Qualities[static_cast<std::size_t>(Attempt.End)];
+}
+
+} // namespace
+
+std::vector<ticket_answer> service_router::finish(const permit &Permit,
+                                                  const attempt &Outcome,
+                                                  base::instant Now) {
+  const auto Found = Running.find(Permit.Id);
+  if (Found == Running.end())
+    return {};
+  const running Ended = Found->second;
+  Running.erase(Found);
+  target_state *Target = findTarget(Ended.Target);
+  if (Target != nullptr) {
+    Target->finish(Ended.Incarnation, Ended.Started);
+    observe(*Target, Ended, Outcome, Now);
+  }
+  return tick(Now);
+}
+
+target_state *service_router::findTarget(const base::target_id &Id) {
+  const auto Place = std::lower_bound(
+      Targets.begin(), Targets.end(), Id,
+      [](const target_state &State, const base::target_id &Wanted) {
+        return State.current().Target < Wanted;
+      });
+  if (Place == Targets.end() || Place->current().Target != Id)
+    return nullptr;
+  return &*Place;
+}
+
+void service_router::note(const running &Ended, observation_kind Kind) {
+  if (Observations.size() < MaxObservations)
+    Observations.push_back({Ended.Target, Ended.Incarnation, Kind});
+}
+
+void service_router::observe(target_state &Target, const running &Ended,
+                             const attempt &Outcome, base::instant Now) {
+  if (!Outcome.Incarnation.empty() &&
+      Outcome.Incarnation != Ended.Incarnation) {
+    Target.distrust(Ended.Incarnation);
+    note(Ended, observation_kind::IncarnationChanged);
+    return;
+  }
+  if (Target.current().Incarnation != Ended.Incarnation)
+    return;
+  const attempt_quality Quality = qualityOf(Outcome);
+  if (Quality == attempt_quality::Break) {
+    Target.suspendUntil(Now + SuspensionAfterBreak);
+    note(Ended, observation_kind::Reset);
+  } else if (Outcome.End == attempt_end::Refused) {
+    Target.reduceAllowance();
+    note(Ended, observation_kind::Shed);
+  } else if (Quality == attempt_quality::Good) {
+    Target.raiseAllowance();
+    Times.record(Outcome.Elapsed);
+  }
+  if (Detector.record(Ended.Target, Quality, Outcome.Elapsed, Now) ==
+      ejection_cause::Slow)
+    note(Ended, observation_kind::ServiceTimeJump);
+}
+
+} // namespace fulmar::routing
--- /dev/null
+++ b/modules/routing/internal/servicepicking.cpp
@@ -0,0 +1,151 @@
+// Which targets of a service take part in a pick.
+
+#include "fulmar/routing/hedging.h"
+#include "internal/servicerouter.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace fulmar::routing {
+
+namespace {
+
+constexpr std::size_t AllTiers = std::numeric_limits<std::size_t>::max();
+/// Share below which a target in probation gets one request at a time.
+constexpr double SingleRequestShare = 0.5;
+/// A request in flight that is this many medians old raises the estimate.
+constexpr double AgeInMedians = 3;
+constexpr double MaxAgeSlowness = 4;
+
+bool wasTried(std::span<const attempt> Earlier, const base::target_id &Target) {
+  return std::any_of(
+      Earlier.begin(), Earlier.end(),
+      [&Target](const attempt &Attempt) { return Attempt.Target == Target; });
+}
+
+} // namespace
+
+std::optional<permit> service_router::tryGrant(const waiter &Waiter,
+                                               base::instant Now) {
+  const std::size_t MaxTier =
+      Strategy->selective() ? farthestTier(Now) : AllTiers;
+  collect(Waiter.Earlier, MaxTier, Now);
+  if (Views.empty() && MaxTier != AllTiers)
+    collect(Waiter.Earlier, AllTiers, Now);
+  if (Views.empty())
+    return std::nullopt;
+  const std::size_t Picked = Strategy->pick(Views, Random);
+  return grant(Targets[Views[Picked].Index], Waiter.Request, Now);
+}
+
+permit service_router::grant(target_state &Target,
+                             const request_profile &Request,
+                             base::instant Now) {
+  Target.start(Now);
+  const permit Granted{.Id = ++LastId,
+                       .Target = Target.current(),
+                       .HedgeAfter =
+                           hedgeAfter(Request, Policy, Times, Budget, Now)};
+  Running.emplace(Granted.Id, running{.Target = Granted.Target.Target,
+                                      .Incarnation = Granted.Target.Incarnation,
+                                      .Started = Now});
+  return Granted;
+}
+
+std::size_t service_router::farthestTier(base::instant Now) const {
+  struct usage {
+    std::uint32_t InFlight = 0;
+    std::uint32_t Limit = 0;
+  };
+  std::vector<usage> Usages(Policy.Nearness.size() + 2);
+  for (const target_state &Target : Targets) {
+    if (Target.Health == nullptr || Target.Health->Share < 1)
+      continue;
+    usage &Usage = Usages[Target.Tier];
+    const std::uint32_t Limit = Target.limit(Now);
+    Usage.Limit += Limit;
+    Usage.InFlight += std::min(Limit, Target.inFlight());
+  }
+  for (std::size_t Tier = 0; Tier < Usages.size(); ++Tier)
+    if (Usages[Tier].InFlight <
+        Policy.SpillOverUtilisation * Usages[Tier].Limit)
+      return Tier;
+  return AllTiers;
+}
+
+bool service_router::anyActive(base::instant Now) const {
+  return std::any_of(
+      Targets.begin(), Targets.end(), [Now](const target_state &Target) {
+        return Target.Health != nullptr && Target.Health->Share >= 1 &&
+               Target.limit(Now) > 0;
+      });
+}
+
+bool service_router::anyRoom(base::instant Now) const {
+  return std::any_of(Targets.begin(), Targets.end(),
+                     [Now](const target_state &Target) {
+                       return Target.inFlight() < Target.limit(Now);
+                     });
+}
+
+bool service_router::takesPart(const target_state &Target, std::size_t MaxTier,
+                               bool OnlyEjected) {
+  if (!Strategy->selective() || OnlyEjected)
+    return true;
+  if (Target.Tier > MaxTier || Target.Health == nullptr)
+    return false;
+  const double Share = Target.Health->Share;
+  if (Share >= 1)
+    return true;
+  if (Share <= 0 || (Share < SingleRequestShare && Target.inFlight() > 0))
+    return false;
+  return absl::Uniform(Random, 0.0, 1.0) < Share;
+}
+
+void service_router::collect(std::span<const attempt> Earlier,
+                             std::size_t MaxTier, base::instant Now) {
+  Views.clear();
+  const bool OnlyEjected = !anyActive(Now);
+  for (std::size_t Index = 0; Index < Targets.size(); ++Index) {
+    const target_state &Target = Targets[Index];
+    if (Target.inFlight() >= Target.limit(Now))
+      continue;
+    if (takesPart(Target, MaxTier, OnlyEjected))
+      Views.push_back(viewOf(Index, Now));
+  }
+  if (!Earlier.empty())
+    dropTried(Earlier, Now);
+}
+
+target_view service_router::viewOf(std::size_t Index, base::instant Now) const {
+  const target_state &Target = Targets[Index];
+  target_view View{.Index = Index,
+                   .InFlight = Target.inFlight(),
+                   .Limit = Target.limit(Now),
+                   .LoadHint = Target.loadHint(Now)};
+  if (Target.Health == nullptr || Detector.medianSeconds() <= 0)
+    return View;
+  const double Age =
+      std::chrono::duration<double>(Target.oldestAge(Now)).count();
+  const double AgeSlowness =
+      std::min(MaxAgeSlowness, Age / (AgeInMedians * Detector.medianSeconds()));
+  View.Slowness = std::max(Detector.slowness(*Target.Health), AgeSlowness);
+  return View;
+}
+
+void service_router::dropTried(std::span<const attempt> Earlier,
+                               base::instant Now) {
+  const bool OtherExists = std::any_of(
+      Targets.begin(), Targets.end(), [&](const target_state &Target) {
+        return Target.limit(Now) > 0 &&
+               !wasTried(Earlier, Target.current().Target);
+      });
+  if (!OtherExists)
+    return;
+  std::erase_if(Views, [&](const target_view &View) {
+    return wasTried(Earlier, Targets[View.Index].current().Target);
+  });
+}
+
+} // namespace fulmar::routing
--- /dev/null
+++ b/modules/routing/internal/servicerouter.h
@@ -0,0 +1,109 @@
+// The router's part for one service: its targets, queue, budget and health.
+
+#ifndef FULMAR_ROUTING_SERVICEROUTER_H
+#define FULMAR_ROUTING_SERVICEROUTER_H
+
+#include "fulmar/base/random.h"
+#include "fulmar/routing/ipickstrategy.h"
+#include "fulmar/routing/outlierdetector.h"
+#include "fulmar/routing/retrybudget.h"
+#include "fulmar/routing/router.h"
+#include "fulmar/routing/servicetimes.h"
+#include "internal/targetstate.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmar::routing {
+
+class service_router {
+public:
+  service_router(base::random_source &Source, std::uint64_t &Numbers)
+      : Random(Source), LastId(Numbers) {}
+
+  void setPolicy(const routing_policy &Changed,
+                 std::unique_ptr<ipick_strategy> Chosen);
+  std::vector<ticket_answer> refuseAll(base::error_kind Kind);
+  std::vector<ticket_answer>
+  candidatesChanged(const std::vector<candidate> &Candidates,
+                    base::instant Now);
+  acquire_result acquire(const request_profile &Request,
+                         std::span<const attempt> Earlier, base::instant Now);
+  std::vector<ticket_answer> finish(const permit &Permit,
+                                    const attempt &Outcome, base::instant Now);
+  void cancel(ticket_id Ticket) { Queue.remove(Ticket); }
+  std::vector<ticket_answer> tick(base::instant Now);
+
+  [[nodiscard]] std::uint32_t demand() const;
+  [[nodiscard]] std::vector<target_in_flight> inFlight() const;
+  [[nodiscard]] std::vector<target_preference> preferences() const;
+  [[nodiscard]] std::size_t waiting() const { return Queue.size(); }
+  std::vector<observation> takeObservations();
+
+private:
+  struct running {
+    base::target_id Target;
+    std::string Incarnation;
+    base::instant Started{};
+  };
+
+  [[nodiscard]] std::size_t tierOf(const base::data_centre_name &Name) const;
+  [[nodiscard]] queue_limits limits() const;
+  [[nodiscard]] base::instant expectedStart(const request_profile &Request,
+                                            base::instant Now) const;
+  [[nodiscard]] base::error_kind waitReason(base::error_kind Reason) const;
+  ticket_answer refusalOf(const refused_waiter &Refused) const;
+
+  void mergeCandidates(const std::vector<candidate> &Candidates,
+                       base::instant Now);
+  void attachHealths(base::instant Now);
+  void evaluate(base::instant Now);
+
+  std::vector<ticket_answer> expire(base::instant Now);
+  /// Grants to waiters in order while a target has room.
+  void drain(std::vector<ticket_answer> &Answers, base::instant Now);
+  std::optional<permit> tryGrant(const waiter &Waiter, base::instant Now);
+  permit grant(target_state &Target, const request_profile &Request,
+               base::instant Now);
+
+  /// Nearest tiers whose utilisation is below the policy's bound.
+  [[nodiscard]] std::size_t farthestTier(base::instant Now) const;
+  /// Some target that is not ejected may be sent to.
+  [[nodiscard]] bool anyActive(base::instant Now) const;
+  [[nodiscard]] bool anyRoom(base::instant Now) const;
+  void collect(std::span<const attempt> Earlier, std::size_t MaxTier,
+               base::instant Now);
+  bool takesPart(const target_state &Target, std::size_t MaxTier,
+                 bool OnlyEjected);
+  [[nodiscard]] target_view viewOf(std::size_t Index, base::instant Now) const;
+  void dropTried(std::span<const attempt> Earlier, base::instant Now);
+
+  target_state *findTarget(const base::target_id &Id);
+  void observe(target_state &Target, const running &Ended,
+               const attempt &Outcome, base::instant Now);
+  void note(const running &Ended, observation_kind Kind);
+
+  base::random_source &Random;
+  std::uint64_t &LastId;
+  routing_policy Policy;
+  std::unique_ptr<ipick_strategy> Strategy;
+  outlier_detector Detector{{}};
+  retry_budget Budget;
+  service_times Times;
+  admission_queue Queue;
+  /// In order of their ids. A target that is no longer listed stays, without
+  /// permission to send, until its requests have ended and its health is old.
+  std::vector<target_state> Targets;
+  /// Permits that are not finished; the requests in flight of Targets.
+  std::unordered_map<std::uint64_t, running> Running;
+  std::vector<observation> Observations;
+  std::vector<target_view> Views;
+  base::instant Evaluated{};
+};
+
+} // namespace fulmar::routing
+
+#endif // FULMAR_ROUTING_SERVICEROUTER_H
--- /dev/null
+++ b/modules/routing/internal/verdict.cpp
@@ -0,0 +1,109 @@
+// The single decisions on "not run" and on further attempts.
+
+#include "fulmar/routing/verdict.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fulmar::routing {
+
+namespace {
+
+using base::error_kind;
+
+struct end_verdict {
+  attempt_end End;
+  /// The attempt proves that the target did not run the request, given that no
+  /// byte or at least one byte was sent.
+  bool NotRunUnsent;
+  bool NotRunSent;
+  /// Kind of the final answer when the attempt proves nothing.
+  error_kind Unproved;
+};
+
+constexpr std::array<end_verdict, 7> Verdicts = {{
+    {attempt_end::Answered, false, false, error_kind::OutcomeUnknown},
+    {attempt_end::NotConnected, true, false, error_kind::OutcomeUnknown},
+    {attempt_end::Refused, true, true, error_kind::OutcomeUnknown},
+    {attempt_end::Broken, false, false, error_kind::OutcomeUnknown},
+    {attempt_end::TimedOut, true, false, error_kind::TargetTimeout},
+    {attempt_end::Truncated, false, false, error_kind::TruncatedAnswer},
+    {attempt_end::Cancelled, true, false, error_kind::OutcomeUnknown},
+}};
+
+const end_verdict &verdictOf(const attempt &Attempt) {
+  return Verdicts[static_cast<std::size_t>(Attempt.End)];
+}
+
+bool provesNotRun(const attempt &Attempt) {
+  const end_verdict &Verdict = verdictOf(Attempt);
+  return Attempt.BytesSent ? Verdict.NotRunSent : Verdict.NotRunUnsent;
+}
+
+/// A complete answer that the caller gets, or an ended call.
+bool isFinal(const attempt &Attempt) {
+  constexpr std::array<int, 3> RetryableStatus = {502, 503, 504};
+  if (Attempt.FinalBelow || Attempt.End == attempt_end::Cancelled)
+    return true;
+  return Attempt.End == attempt_end::Answered &&
+         std::find(RetryableStatus.begin(), RetryableStatus.end(),
+                   Attempt.Status) == RetryableStatus.end();
+}
+
+bool bodyLost(const request_profile &Request,
+              std::span<const attempt> Attempts) {
+  return !Request.Replayable &&
+         std::any_of(Attempts.begin(), Attempts.end(),
+                     [](const attempt &Attempt) { return Attempt.BytesSent; });
+}
+
+/// Why a request that was not run is given up, from its last attempt.
+error_kind notRunReason(const attempt &Last) {
+  return Last.End == attempt_end::Refused ? error_kind::Saturated
+                                          : error_kind::NoTarget;
+}
+
+} // namespace
+
+bool provedNotRun(std::span<const attempt> Attempts) {
+  return std::all_of(Attempts.begin(), Attempts.end(), provesNotRun);
+}
+
+bool reachedNoTarget(std::span<const attempt> Attempts) {
+  return std::all_of(
+      Attempts.begin(), Attempts.end(), [](const attempt &Attempt) {
+        return Attempt.End == attempt_end::NotConnected && !Attempt.BytesSent;
+      });
+}
+
+error_kind givenUpKind(std::span<const attempt> Attempts, error_kind Reason) {
+  for (const attempt &Attempt : Attempts)
+    if (!provesNotRun(Attempt))
+      return verdictOf(Attempt).Unproved;
+  return Reason;
+}
+
+std::optional<error_kind>
+furtherAttemptRefusal(const request_profile &Request,
+                      std::span<const attempt> Attempts,
+                      const attempt_limits &Limits) {
+  if (Limits.Now >= Request.Deadline)
+    return givenUpKind(Attempts, error_kind::DeadlinePassed);
+  if (Attempts.empty())
+    return std::nullopt;
+  const error_kind GivenUp =
+      givenUpKind(Attempts, notRunReason(Attempts.back()));
+  if (std::any_of(Attempts.begin(), Attempts.end(), isFinal))
+    return GivenUp;
+  if (Attempts.size() >= Limits.MaxAttempts || bodyLost(Request, Attempts))
+    return GivenUp;
+  if (!Request.Idempotent && !provedNotRun(Attempts))
+    return GivenUp;
+  if (reachedNoTarget(Attempts))
+    return std::nullopt;
+  if (Request.RetryOfCaller || !Limits.BudgetLeft)
+    return GivenUp;
+  return std::nullopt;
+}
+
+} // namespace fulmar::routing
