--- a/modules/runtime/internal/program.cpp
+++ b/modules/runtime/internal/program.cpp
@@ -41,6 +41,7 @@
   absl::SetFlagsUsageConfig(Usage);
   std::vector<std::string> Words = withUnderscores(Argc, Argv);
   std::vector<char *> Pointers;
+  Pointers.reserve(Words.size());
   for (std::string &Word : Words)
     Pointers.push_back(Word.data());
   absl::ParseCommandLine(static_cast<int>(Pointers.size()), Pointers.data());
