Let the proxy name claims' holders and the incarnation it believed

Cause: the replicated claims read a holder as INSTANCE/INCARNATION/COUNT, and the directory compares the incarnation that an answer names with the granted one. Ruled out: a second id for claims (request id and holder are the same thing). Before: a holder of the form NAME-COUNT, which control refuses. After: the form of claims::holderPrefix(). Conclusion: one identity for a request in traces, claims and answers.

--- a/modules/proxy/include/fulmar/proxy/forwarder.h
+++ b/modules/proxy/include/fulmar/proxy/forwarder.h
@@ -25,7 +25,7 @@
 namespace fulmar::proxy {
 
 struct forwarder_options {
-  /// Unique to this start of the process, e.g. "entry-3-1718000000"; begins
+  /// Unique to this start of the process, see claims::holderPrefix(); begins
   /// every request id and every claim's holder.
   std::string Instance;
   base::duration ConnectTimeout = std::chrono::seconds(1);
--- a/modules/proxy/include/fulmar/proxy/proxytypes.h
+++ b/modules/proxy/include/fulmar/proxy/proxytypes.h
@@ -72,6 +72,9 @@
 /// What the headers of a target's answer say about the target.
 struct target_observation {
   base::target_id Target;
+  /// The incarnation that the request was meant for.
+  std::string Believed;
+  /// The incarnation that the answer named.
   std::optional<std::string> Incarnation;
   /// 0 idle to 1 full.
   std::optional<double> Load;
--- a/modules/proxy/internal/forwarder.cpp
+++ b/modules/proxy/internal/forwarder.cpp
@@ -254,7 +254,7 @@
     : Options(std::move(Settings)), Parts(std::move(Collaborators)) {}
 
 std::string forwarder::nextRequestId() {
-  return Options.Instance + "-" + std::to_string(++Requests);
+  return Options.Instance + std::to_string(++Requests);
 }
 
 void forwarder::handle(caller_exchange &Caller) {
--- a/modules/proxy/internal/targetexchange.cpp
+++ b/modules/proxy/internal/targetexchange.cpp
@@ -158,7 +158,8 @@
 }
 
 void target_exchange::observe() const {
-  target_observation Observation{.Target = Permit.Target.Target};
+  target_observation Observation{.Target = Permit.Target.Target,
+                                 .Believed = Permit.Target.Incarnation};
   if (Response->has("Fulmar-Incarnation"))
     Observation.Incarnation = Response->get("Fulmar-Incarnation");
   if (Response->has("Fulmar-Load"))
--- a/modules/proxy/tests/frontfixture.h
+++ b/modules/proxy/tests/frontfixture.h
@@ -86,7 +86,7 @@
 
   front_fixture() {
     Forwarder = std::make_unique<forwarder>(
-        forwarder_options{.Instance = "entry-t"},
+        forwarder_options{.Instance = "entry-t/1/"},
         forwarder_parts{
             .Router = Router,
             .Claims = Keeper,
