--- a/modules/proxy/include/fulmar/proxy/callerexchange.h
+++ b/modules/proxy/include/fulmar/proxy/callerexchange.h
@@ -29,7 +29,7 @@
 /// Owned by the thread that serves the connection.
 class caller_exchange {
 public:
-  caller_exchange(connection &Connected, Poco::Net::HTTPRequest Head,
+  caller_exchange(connection &Connected, const Poco::Net::HTTPRequest &Head,
                   body_framing Framing, caller_exchange_options Settings);
 
   [[nodiscard]] const Poco::Net::HTTPRequest &request() const {
--- a/modules/proxy/internal/attemptrunner.cpp
+++ b/modules/proxy/internal/attemptrunner.cpp
@@ -215,7 +215,7 @@
   giveUp({base::error_kind::DeadlinePassed, "the deadline passed"});
 }
 
-void attempt_runner::giveUp(base::error Reason) {
+void attempt_runner::giveUp(const base::error &Reason) {
   Outcome.Error = finalError(Reason);
   Done = true;
 }
--- a/modules/proxy/internal/attemptrunner.h
+++ b/modules/proxy/internal/attemptrunner.h
@@ -53,7 +53,7 @@
   void takeAnswer(std::size_t Index);
   void fail(exchange Exchange, routing::attempt_end End);
   void failAllAtDeadline();
-  void giveUp(base::error Reason);
+  void giveUp(const base::error &Reason);
   [[nodiscard]] bool maySendAgain() const;
   [[nodiscard]] base::error finalError(const base::error &Refusal) const;
   [[nodiscard]] base::duration timeLeft() const;
--- a/modules/proxy/internal/callerexchange.cpp
+++ b/modules/proxy/internal/callerexchange.cpp
@@ -13,10 +13,10 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-caller_exchange::caller_exchange(connection &Connected, HTTPRequest Head,
+caller_exchange::caller_exchange(connection &Connected, const HTTPRequest &Head,
                                  body_framing Framing,
                                  caller_exchange_options Settings)
-    : Caller(Connected), Request(std::move(Head)), Options(Settings),
+    : Caller(Connected), Request(Head), Options(Settings),
       Body(Connected, Framing) {}
 
 base::instant caller_exchange::sendDeadline() const {
--- a/modules/proxy/internal/frontconnection.cpp
+++ b/modules/proxy/internal/frontconnection.cpp
@@ -114,10 +114,9 @@
   }
 }
 
-bool front_connection::serveExchange(HTTPRequest Request,
+bool front_connection::serveExchange(const HTTPRequest &Request,
                                      body_framing Framing) {
-  caller_exchange Exchange(Caller, std::move(Request), Framing,
-                           {.Close = State.Draining});
+  caller_exchange Exchange(Caller, Request, Framing, {.Close = State.Draining});
   if (Exchange.request().getURI().starts_with(OwnPathPrefix))
     servePlain(Exchange);
   else
--- a/modules/proxy/internal/frontconnection.h
+++ b/modules/proxy/internal/frontconnection.h
@@ -48,7 +48,8 @@
   /// Serves one request; false when it was the connection's last.
   bool serveRequest();
   base::result<Poco::Net::HTTPRequest> readHead();
-  bool serveExchange(Poco::Net::HTTPRequest Request, body_framing Framing);
+  bool serveExchange(const Poco::Net::HTTPRequest &Request,
+                     body_framing Framing);
   void servePlain(caller_exchange &Exchange);
   /// Answers a head that could not be understood.
   void refuseHead(const base::error &Fault);
