Quarantine requests that crash two targets

Cause: a request that crashes its target is resent by its caller and takes the next one down. A broken attempt is a suspect only when the target had answered other requests since its previous break; a restart or refused connection confirms it. Ruled out: forgetting errors when a target comes back as a new process, because a target in a crash loop then kept its full share (seen in aSickTargetQuarantinesNoInnocentRequest, which failed with it). Checked: a poison request crashes two of eight targets in 20 resends.

--- /dev/null
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -0,0 +1,83 @@
+// Recognises requests that crash the target which runs them.
+//
+// A broken attempt makes its request a suspect when the target had been
+// answering other requests since its previous break, and this instance has not
+// seen the same request answered lately. The suspicion is confirmed when the
+// target then refuses connections or comes back with another incarnation. A
+// target that breaks all of its connections answers nothing in between, so it
+// makes no request suspect after the first break.
+
+#ifndef FULMAR_ROUTING_CRASHDETECTOR_H
+#define FULMAR_ROUTING_CRASHDETECTOR_H
+
+#include "fulmar/base/identifier.h"
+#include "fulmar/base/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmar::routing {
+
+/// One target's process that a request took down; for the control instances.
+struct crash_report {
+  std::uint64_t Fingerprint = 0;
+  base::target_id Target;
+  std::string Incarnation;
+
+  friend auto operator<=>(const crash_report &, const crash_report &) = default;
+};
+
+class crash_detector {
+public:
+  /// A complete answer to \p Fingerprint that is no server error.
+  void answered(const base::target_id &Target, std::uint64_t Fingerprint,
+                base::instant Now);
+  /// The connection broke after bytes were sent, without a whole answer.
+  void broken(const crash_report &Suspect, base::instant Now);
+  /// A connection to the target could not be made.
+  void unreachable(const base::target_id &Target, base::instant Now);
+  /// The target runs as \p Incarnation now.
+  void incarnationSeen(const base::target_id &Target,
+                       const std::string &Incarnation, base::instant Now);
+
+  /// Returns and forgets the confirmed crashes since the last call.
+  std::vector<crash_report> takeReports();
+
+private:
+  struct target_record {
+    /// The last two different requests that were answered.
+    std::uint64_t LastAnswered = 0;
+    base::instant LastAnsweredAt{};
+    std::uint64_t OtherAnswered = 0;
+    base::instant OtherAnsweredAt{};
+    base::instant LastBreak{};
+    std::string BrokenIncarnation;
+    base::instant Used{};
+  };
+  struct suspect {
+    crash_report Report;
+    base::instant Since{};
+  };
+
+  [[nodiscard]] bool answeredLately(std::uint64_t Fingerprint,
+                                    base::instant Now) const;
+  void confirm(const base::target_id &Target, base::instant Now,
+               const std::string &Incarnation);
+  void forgetOld(base::instant Now);
+
+  std::unordered_map<base::target_id, target_record> Targets;
+  /// Bounded; the oldest first.
+  std::deque<suspect> Suspects;
+  std::vector<crash_report> Confirmed;
+  /// When a request was last answered; bounded by Answers.
+  std::unordered_map<std::uint64_t, base::instant> AnsweredAt;
+  std::deque<std::uint64_t> Answers;
+};
+
+} // namespace fulmar::routing
+
+#endif // FULMAR_ROUTING_CRASHDETECTOR_H
--- a/modules/routing/include/fulmar/routing/outlierdetector.h
+++ b/modules/routing/include/fulmar/routing/outlierdetector.h
@@ -81,8 +81,9 @@
   /// Compares all targets, ejects outliers and starts due probations.
   void evaluate(base::instant Now);
 
-  /// A new process behind the target's name: its past does not count.
-  void reset(const base::target_id &Target);
+  /// A new process runs behind the target's name: earlier service times do not
+  /// count. Errors do, so that a target that crashes over and over is ejected.
+  void restarted(const base::target_id &Target);
 
   /// Null for an unknown target; valid until the next setTargets().
   [[nodiscard]] const target_health *
--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -8,15 +8,20 @@
 #include "fulmar/base/random.h"
 #include "fulmar/base/result.h"
 #include "fulmar/routing/admissionqueue.h"
+#include "fulmar/routing/crashdetector.h"
+#include "fulmar/routing/quarantine.h"
 #include "fulmar/routing/routingpolicy.h"
 #include "fulmar/routing/routingtypes.h"
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -128,6 +133,13 @@
   /// The waiting caller has gone; its ticket gets no answer.
   void cancel(const base::service_name &Service, ticket_id Ticket);
 
+  /// A published quarantine. Waiting requests with this fingerprint are
+  /// refused.
+  std::vector<ticket_answer> quarantinePublished(
+      std::uint64_t Fingerprint, std::chrono::system_clock::time_point Until,
+      std::chrono::system_clock::time_point WallNow, base::instant Now);
+  void quarantineRemoved(std::uint64_t Fingerprint);
+
   /// Expires waiters and ejections. To be called every few milliseconds while
   /// requests wait, and every 100 ms otherwise.
   std::vector<ticket_answer> tick(base::instant Now);
@@ -141,14 +153,28 @@
   [[nodiscard]] std::size_t waiting() const;
   /// Returns and forgets what was observed since the last call.
   std::vector<observation> takeObservations();
+  /// Returns and forgets the crashes confirmed since the last call, to be
+  /// reported to the control instances.
+  std::vector<crash_report> takeCrashReports();
 
 private:
   service_router *find(const base::service_name &Service) const;
+  void observeCrashes(const permit &Permit, const attempt &Outcome,
+                      std::uint64_t Fingerprint, base::instant Now);
+  /// Quarantines requests that crashed two targets of this instance.
+  std::vector<ticket_answer> confirmCrashes(base::instant Now);
+  std::vector<ticket_answer> refuseWaiters(std::uint64_t Fingerprint);
 
   base::random_source Random;
   std::map<base::service_name, std::unique_ptr<service_router>> Services;
   /// Permits and tickets share the numbers, over all services.
   std::uint64_t LastId = 0;
+  quarantine Quarantine;
+  crash_detector Crashes;
+  /// Confirmed and not yet taken.
+  std::vector<crash_report> Reports;
+  /// Targets that each suspected request crashed; bounded.
+  std::unordered_map<std::uint64_t, std::set<base::target_id>> CrashedTargets;
 };
 
 } // namespace fulmar::routing
--- a/modules/routing/internal/admissionqueue.cpp
+++ b/modules/routing/internal/admissionqueue.cpp
@@ -48,6 +48,7 @@
       Expired.emplace_back(Place, error_kind::Saturated);
   }
   std::vector<refused_waiter> Refused;
+  Refused.reserve(Expired.size());
   for (const auto &[Place, Reason] : Expired)
     Refused.push_back({takeOut(Place), Reason});
   return Refused;
--- /dev/null
+++ b/modules/routing/internal/crashdetector.cpp
@@ -0,0 +1,112 @@
+// Suspects and their confirmation.
+
+#include "fulmar/routing/crashdetector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmar::routing {
+
+namespace {
+
+/// Breaks of one crash reach this instance within this time.
+constexpr base::duration BreakSpread = std::chrono::milliseconds(200);
+/// A target counts as answering for this time.
+constexpr base::duration AnsweringWindow = std::chrono::seconds(10);
+/// A suspicion ends after this time without confirmation.
+constexpr base::duration ConfirmationWindow = std::chrono::seconds(10);
+/// An answered request is not suspected for this time.
+constexpr base::duration AnsweredRetention = std::chrono::seconds(60);
+constexpr std::size_t MaxSuspects = 256;
+constexpr std::size_t MaxAnswers = 4096;
+constexpr std::size_t MaxTargets = 4096;
+
+} // namespace
+
+void crash_detector::answered(const base::target_id &Target,
+                              std::uint64_t Fingerprint, base::instant Now) {
+  target_record &Record = Targets[Target];
+  Record.Used = Now;
+  if (Record.LastAnswered != Fingerprint) {
+    Record.OtherAnswered = Record.LastAnswered;
+    Record.OtherAnsweredAt = Record.LastAnsweredAt;
+    Record.LastAnswered = Fingerprint;
+  }
+  Record.LastAnsweredAt = Now;
+  const auto [Place, New] = AnsweredAt.insert_or_assign(Fingerprint, Now);
+  if (New)
+    Answers.push_back(Fingerprint);
+  forgetOld(Now);
+}
+
+void crash_detector::broken(const crash_report &Suspect, base::instant Now) {
+  target_record &Record = Targets[Suspect.Target];
+  Record.Used = Now;
+  const bool SameEvent = Now - Record.LastBreak < BreakSpread &&
+                         Record.BrokenIncarnation == Suspect.Incarnation;
+  const base::instant Other = Record.LastAnswered == Suspect.Fingerprint
+                                  ? Record.OtherAnsweredAt
+                                  : Record.LastAnsweredAt;
+  const bool WasAnswering = Other != base::instant{} &&
+                            Now - Other < AnsweringWindow &&
+                            (SameEvent || Other > Record.LastBreak);
+  if (!SameEvent) {
+    Record.LastBreak = Now;
+    Record.BrokenIncarnation = Suspect.Incarnation;
+  }
+  if (!WasAnswering || answeredLately(Suspect.Fingerprint, Now))
+    return;
+  Suspects.push_back({.Report = Suspect, .Since = Now});
+  forgetOld(Now);
+}
+
+void crash_detector::unreachable(const base::target_id &Target,
+                                 base::instant Now) {
+  confirm(Target, Now, "");
+}
+
+void crash_detector::incarnationSeen(const base::target_id &Target,
+                                     const std::string &Incarnation,
+                                     base::instant Now) {
+  confirm(Target, Now, Incarnation);
+}
+
+void crash_detector::confirm(const base::target_id &Target, base::instant Now,
+                             const std::string &Incarnation) {
+  forgetOld(Now);
+  const auto Matches = [&](const suspect &Suspect) {
+    return Suspect.Report.Target == Target &&
+           Suspect.Report.Incarnation != Incarnation;
+  };
+  for (const suspect &Suspect : Suspects)
+    if (Matches(Suspect))
+      Confirmed.push_back(Suspect.Report);
+  std::erase_if(Suspects, Matches);
+}
+
+std::vector<crash_report> crash_detector::takeReports() {
+  return std::exchange(Confirmed, {});
+}
+
+bool crash_detector::answeredLately(std::uint64_t Fingerprint,
+                                    base::instant Now) const {
+  const auto Found = AnsweredAt.find(Fingerprint);
+  return Found != AnsweredAt.end() && Now - Found->second < AnsweredRetention;
+}
+
+void crash_detector::forgetOld(base::instant Now) {
+  while (!Suspects.empty() &&
+         (Suspects.size() > MaxSuspects ||
+          Now - Suspects.front().Since >= ConfirmationWindow))
+    Suspects.pop_front();
+  while (Answers.size() > MaxAnswers) {
+    AnsweredAt.erase(Answers.front());
+    Answers.pop_front();
+  }
+  if (Targets.size() > MaxTargets)
+    std::erase_if(Targets, [Now](const auto &Entry) {
+      return Now - Entry.second.Used >= AnsweredRetention;
+    });
+}
+
+} // namespace fulmar::routing
--- a/modules/routing/internal/outlierdetector.cpp
+++ b/modules/routing/internal/outlierdetector.cpp
@@ -175,10 +175,10 @@
   Health.Breaks = 0;
 }
 
-void outlier_detector::reset(const base::target_id &Target) {
+void outlier_detector::restarted(const base::target_id &Target) {
   const auto Found = Healths.find(Target);
   if (Found != Healths.end())
-    Found->second = target_health{};
+    Found->second.TimedRecords = 0;
 }
 
 void outlier_detector::refreshMedians() {
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+constexpr std::size_t CrashesToQuarantine = 2;
+constexpr std::size_t MaxCrashRecords = 1024;
+/// Until the control instances publish theirs.
+constexpr base::duration LocalQuarantineTime = std::chrono::seconds(60);
+
 template <typename Item>
 void append(std::vector<Item> &All, std::vector<Item> More) {
   std::move(More.begin(), More.end(), std::back_inserter(All));
@@ -47,7 +52,8 @@
   service_router *Found = find(Service);
   if (Found == nullptr)
     return {};
-  auto Answers = Found->refuseAll(base::error_kind::UnknownService);
+  auto Answers = Found->refuse([](const waiter &) { return true; },
+                               base::error_kind::UnknownService);
   Services.erase(Service);
   return Answers;
 }
@@ -59,7 +65,11 @@
   service_router *Found = find(Service);
   if (Found == nullptr)
     return {};
-  return Found->candidatesChanged(Candidates, Now);
+  for (const candidate &Listed : Candidates)
+    Crashes.incarnationSeen(Listed.Target, Listed.Incarnation, Now);
+  auto Answers = confirmCrashes(Now);
+  append(Answers, Found->candidatesChanged(Candidates, Now));
+  return Answers;
 }
 
 acquire_result router::acquire(const request_profile &Request,
@@ -68,6 +78,8 @@
   service_router *Found = find(Request.Service);
   if (Found == nullptr)
     return {.Answer = givenUpKind(Earlier, base::error_kind::UnknownService)};
+  if (Quarantine.remaining(Request.Fingerprint, Now))
+    return {.Answer = givenUpKind(Earlier, base::error_kind::Quarantined)};
   return Found->acquire(Request, Earlier, Now);
 }
 
@@ -76,9 +88,11 @@
                                           const request_profile &Request,
                                           base::instant Now) {
   service_router *Found = find(Request.Service);
-  if (Found == nullptr)
-    return {};
-  return Found->finish(Permit, Outcome, Now);
+  observeCrashes(Permit, Outcome, Request.Fingerprint, Now);
+  auto Answers = confirmCrashes(Now);
+  if (Found != nullptr)
+    append(Answers, Found->finish(Permit, Outcome, Now));
+  return Answers;
 }
 
 void router::cancel(const base::service_name &Service, ticket_id Ticket) {
@@ -87,6 +101,7 @@
 }
 
 std::vector<ticket_answer> router::tick(base::instant Now) {
+  Quarantine.expire(Now);
   std::vector<ticket_answer> Answers;
   for (const auto &[Name, Service] : Services)
     append(Answers, Service->tick(Now));
@@ -125,4 +140,67 @@
   return Observations;
 }
 
+std::vector<crash_report> router::takeCrashReports() {
+  return std::exchange(Reports, {});
+}
+
+void router::observeCrashes(const permit &Permit, const attempt &Outcome,
+                            std::uint64_t Fingerprint, base::instant Now) {
+  const base::target_id &Target = Permit.Target.Target;
+  if (!Outcome.Incarnation.empty())
+    Crashes.incarnationSeen(Target, Outcome.Incarnation, Now);
+  if (Outcome.End == attempt_end::NotConnected && !Outcome.BytesSent)
+    Crashes.unreachable(Target, Now);
+  if (Fingerprint == 0)
+    return;
+  if (Outcome.End == attempt_end::Answered && Outcome.Status < 500)
+    Crashes.answered(Target, Fingerprint, Now);
+  if (Outcome.End == attempt_end::Broken && Outcome.BytesSent)
+    Crashes.broken({.Fingerprint = Fingerprint,
+                    .Target = Target,
+                    .Incarnation = Permit.Target.Incarnation},
+                   Now);
+}
+
+std::vector<ticket_answer> router::confirmCrashes(base::instant Now) {
+  std::vector<ticket_answer> Answers;
+  for (crash_report &Report : Crashes.takeReports()) {
+    if (CrashedTargets.size() >= MaxCrashRecords)
+      CrashedTargets.clear();
+    auto &Targets = CrashedTargets[Report.Fingerprint];
+    Targets.insert(Report.Target);
+    if (Targets.size() >= CrashesToQuarantine) {
+      Quarantine.add(Report.Fingerprint, LocalQuarantineTime, Now);
+      append(Answers, refuseWaiters(Report.Fingerprint));
+    }
+    if (Reports.size() < MaxCrashRecords)
+      Reports.push_back(std::move(Report));
+  }
+  return Answers;
+}
+
+std::vector<ticket_answer> router::refuseWaiters(std::uint64_t Fingerprint) {
+  const auto Matches = [Fingerprint](const waiter &Waiter) {
+    return Waiter.Request.Fingerprint == Fingerprint;
+  };
+  std::vector<ticket_answer> Answers;
+  for (const auto &[Name, Service] : Services)
+    append(Answers, Service->refuse(Matches, base::error_kind::Quarantined));
+  return Answers;
+}
+
+std::vector<ticket_answer> router::quarantinePublished(
+    std::uint64_t Fingerprint, std::chrono::system_clock::time_point Until,
+    std::chrono::system_clock::time_point WallNow, base::instant Now) {
+  Quarantine.publish(Fingerprint, Until, WallNow, Now);
+  if (!Quarantine.remaining(Fingerprint, Now))
+    return {};
+  return refuseWaiters(Fingerprint);
+}
+
+void router::quarantineRemoved(std::uint64_t Fingerprint) {
+  Quarantine.withdraw(Fingerprint);
+  CrashedTargets.erase(Fingerprint);
+}
+
 } // namespace fulmar::routing
--- a/modules/routing/internal/servicepicking.cpp
+++ b/modules/routing/internal/servicepicking.cpp
@@ -43,10 +43,9 @@
                              const request_profile &Request,
                              base::instant Now) {
   Target.start(Now);
-  const permit Granted{.Id = ++LastId,
-                       .Target = Target.current(),
-                       .HedgeAfter =
-                           hedgeAfter(Request, Policy, Times, Budget, Now)};
+  permit Granted{.Id = ++LastId,
+                 .Target = Target.current(),
+                 .HedgeAfter = hedgeAfter(Request, Policy, Times, Budget, Now)};
   Running.emplace(Granted.Id, running{.Target = Granted.Target.Target,
                                       .Incarnation = Granted.Target.Incarnation,
                                       .Started = Now});
--- a/modules/routing/internal/servicerouter.cpp
+++ b/modules/routing/internal/servicerouter.cpp
@@ -34,10 +34,11 @@
     Target.Tier = tierOf(Target.current().DataCentre);
 }
 
-std::vector<ticket_answer> service_router::refuseAll(error_kind Kind) {
+std::vector<ticket_answer>
+service_router::refuse(const std::function<bool(const waiter &)> &Matches,
+                       error_kind Kind) {
   std::vector<ticket_answer> Answers;
-  const auto All = [](const waiter &) { return true; };
-  while (const auto Waiter = Queue.takeFirst(All))
+  while (const auto Waiter = Queue.takeFirst(Matches))
     Answers.push_back({Waiter->Ticket, givenUpKind(Waiter->Earlier, Kind)});
   return Answers;
 }
@@ -99,7 +100,7 @@
     if (Place == Targets.end() || Place->current().Target != Listed.Target)
       Place = Targets.emplace(Place);
     else if (Place->current().Incarnation != Listed.Incarnation)
-      Detector.reset(Listed.Target);
+      Detector.restarted(Listed.Target);
     Place->setCandidate(Listed, Now);
     Place->Tier = tierOf(Listed.DataCentre);
   }
--- a/modules/routing/internal/servicerouter.h
+++ b/modules/routing/internal/servicerouter.h
@@ -11,6 +11,7 @@
 #include "fulmar/routing/servicetimes.h"
 #include "internal/targetstate.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -26,7 +27,10 @@
 
   void setPolicy(const routing_policy &Changed,
                  std::unique_ptr<ipick_strategy> Chosen);
-  std::vector<ticket_answer> refuseAll(base::error_kind Kind);
+  /// Refuses the waiters that \p Matches accepts.
+  std::vector<ticket_answer>
+  refuse(const std::function<bool(const waiter &)> &Matches,
+         base::error_kind Kind);
   std::vector<ticket_answer>
   candidatesChanged(const std::vector<candidate> &Candidates,
                     base::instant Now);
--- a/modules/routing/internal/strategies.cpp
+++ b/modules/routing/internal/strategies.cpp
@@ -95,6 +95,7 @@
 
 std::vector<std::string_view> strategyNames() {
   std::vector<std::string_view> Names;
+  Names.reserve(Strategies.size());
   for (const strategy_entry &Entry : Strategies)
     Names.push_back(Entry.Name);
   return Names;
--- a/modules/routing/internal/verdict.cpp
+++ b/modules/routing/internal/verdict.cpp
@@ -57,6 +57,16 @@
                      [](const attempt &Attempt) { return Attempt.BytesSent; });
 }
 
+/// A request that broke this many connections may be crashing its targets.
+constexpr std::ptrdiff_t MaxBrokenAttempts = 2;
+
+bool maybeCrashing(std::span<const attempt> Attempts) {
+  return std::count_if(Attempts.begin(), Attempts.end(),
+                       [](const attempt &Attempt) {
+                         return Attempt.End == attempt_end::Broken;
+                       }) >= MaxBrokenAttempts;
+}
+
 /// Why a request that was not run is given up, from its last attempt.
 error_kind notRunReason(const attempt &Last) {
   return Last.End == attempt_end::Refused ? error_kind::Saturated
@@ -99,6 +109,8 @@
     return GivenUp;
   if (!Request.Idempotent && !provedNotRun(Attempts))
     return GivenUp;
+  if (maybeCrashing(Attempts))
+    return GivenUp;
   if (reachedNoTarget(Attempts))
     return std::nullopt;
   if (Request.RetryOfCaller || !Limits.BudgetLeft)
--- /dev/null
+++ b/modules/routing/tests/quarantine_tests.cpp
@@ -0,0 +1,217 @@
+// Tests that a crashing request is stopped after its second target, while a
+// sick target quarantines no innocent request.
+
+#include "fulmar/routing/fingerprint.h"
+#include "fulmar/routing/router.h"
+#include "fulmar/testing/property.h"
+
+#include <map>
+#include <set>
+
+using namespace fulmar;
+using namespace fulmar::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wall_clock = std::chrono::system_clock;
+
+namespace {
+
+const base::service_name Permits("permits");
+constexpr std::uint64_t Poison = 666;
+
+/// Targets that restart with a new incarnation when a poison request runs.
+class crashing_service {
+public:
+  explicit crashing_service(std::size_t Count) : Incarnations(Count, 1) {
+    CHECK(Router.setPolicy(Permits, {}).has_value());
+    publish();
+  }
+
+  /// Sends one request with its permitted retries; true when it was answered.
+  bool send(std::uint64_t Fingerprint) {
+    request_profile Request = {.Service = Permits,
+                               .Idempotent = true,
+                               .Replayable = true,
+                               .Fingerprint = Fingerprint,
+                               .Deadline = Now + seconds(10)};
+    std::vector<attempt> Attempts;
+    while (true) {
+      Now += milliseconds(2);
+      const auto Result = Router.acquire(Request, Attempts, Now);
+      if (const auto *Kind = std::get_if<base::error_kind>(&Result.Answer)) {
+        LastRefusal = *Kind;
+        return false;
+      }
+      if (const auto *Wait = std::get_if<queued>(&Result.Answer)) {
+        Router.cancel(Permits, Wait->Ticket);
+        return false;
+      }
+      const auto &Permit = std::get<permit>(Result.Answer);
+      Attempts.push_back(run(Permit, Fingerprint));
+      Router.finish(Permit, Attempts.back(), Request, Now);
+      publish();
+      if (Attempts.back().End == attempt_end::Answered)
+        return true;
+    }
+  }
+
+  void pass(base::duration Time) { Now += Time; }
+  void publish() {
+    std::vector<candidate> List;
+    for (std::size_t Index = 0; Index < Incarnations.size(); ++Index)
+      List.push_back({.Target = base::target_id("t" + std::to_string(Index)),
+                      .Incarnation = std::to_string(Incarnations[Index]),
+                      .Granted = 4});
+    Router.candidatesChanged(Permits, List, Now);
+  }
+
+  router Router{{.Seed = 7}};
+  base::instant Now{seconds(100)};
+  std::vector<int> Incarnations;
+  std::set<std::string> Sick;
+  base::error_kind LastRefusal{};
+  int Crashes = 0;
+
+private:
+  attempt run(const permit &Permit, std::uint64_t Fingerprint) {
+    const std::string &Name = Permit.Target.Target.str();
+    attempt Outcome = {.Target = Permit.Target.Target,
+                       .BytesSent = true,
+                       .End = attempt_end::Answered,
+                       .Status = 200,
+                       .Elapsed = milliseconds(2)};
+    if (Fingerprint != Poison && !Sick.contains(Name))
+      return Outcome;
+    Outcome.End = attempt_end::Broken;
+    Outcome.Status = 0;
+    ++Incarnations[std::stoul(Name.substr(1))];
+    Crashes += Fingerprint == Poison ? 1 : 0;
+    return Outcome;
+  }
+};
+
+} // namespace
+
+TEST_GROUP(Quarantine){};
+
+TEST(Quarantine, aPoisonRequestCrashesTwoOfEightTargets) {
+  crashing_service Service(8);
+  std::uint64_t Innocent = 1000;
+  for (int Round = 0; Round < 20; ++Round) {
+    for (int Number = 0; Number < 50; ++Number)
+      CHECK(Service.send(++Innocent));
+    Service.send(Poison);
+    Service.pass(seconds(1));
+    Service.publish();
+  }
+  CHECK(Service.Crashes == 2);
+  CHECK(Service.LastRefusal == base::error_kind::Quarantined);
+  const auto Reports = Service.Router.takeCrashReports();
+  CHECK(Reports.size() == 2);
+  for (const crash_report &Report : Reports)
+    CHECK(Report.Fingerprint == Poison);
+}
+
+TEST(Quarantine, aSickTargetQuarantinesNoInnocentRequest) {
+  crashing_service Service(8);
+  std::uint64_t Innocent = 1000;
+  for (int Number = 0; Number < 200; ++Number)
+    CHECK(Service.send(++Innocent));
+  Service.Sick = {"t3"};
+  std::set<std::uint64_t> Sent;
+  for (int Number = 0; Number < 2000; ++Number) {
+    CHECK(Service.send(++Innocent));
+    Sent.insert(Innocent);
+    if (Number % 100 == 0) {
+      Service.pass(seconds(2));
+      Service.publish();
+    }
+  }
+  for (const std::uint64_t Fingerprint : Sent)
+    CHECK(Service.send(Fingerprint));
+  CHECK(Service.Router.takeCrashReports().size() <= 1);
+}
+
+TEST(Quarantine, publishedOnesRefuseNewAndWaitingRequests) {
+  router Router({.Seed = 1});
+  CHECK(Router.setPolicy(Permits, {}).has_value());
+  const base::instant Now(seconds(100));
+  const request_profile Request = {
+      .Service = Permits, .Fingerprint = 5, .Deadline = Now + seconds(90)};
+  Router.acquire(Request, {}, Now);
+  const wall_clock::time_point Wall(seconds(1700000000));
+  const auto Answers =
+      Router.quarantinePublished(5, Wall + seconds(30), Wall, Now);
+  CHECK(Answers.size() == 1);
+  const auto Refused = Router.acquire(Request, {}, Now + seconds(29));
+  CHECK(std::get<base::error_kind>(Refused.Answer) ==
+        base::error_kind::Quarantined);
+  const auto Later = Router.acquire(Request, {}, Now + seconds(31));
+  CHECK(!std::holds_alternative<base::error_kind>(Later.Answer));
+}
+
+TEST(Quarantine, aLateOrFarEndIsBounded) {
+  quarantine Quarantine;
+  const base::instant Now(seconds(100));
+  const wall_clock::time_point Wall(seconds(1700000000));
+  Quarantine.publish(1, Wall - seconds(1), Wall, Now);
+  CHECK(!Quarantine.remaining(1, Now).has_value());
+  Quarantine.publish(2, Wall + std::chrono::hours(100), Wall, Now);
+  CHECK(*Quarantine.remaining(2, Now) == quarantine::MaxTime);
+  Quarantine.expire(Now + quarantine::MaxTime);
+  CHECK(Quarantine.size() == 0);
+}
+
+TEST_GROUP(CrashDetector) {
+  crash_detector Detector;
+  base::instant Now{seconds(100)};
+  const base::target_id Target{"a"};
+  const crash_report Suspect = {
+      .Fingerprint = Poison, .Target = Target, .Incarnation = "1"};
+};
+
+TEST(CrashDetector, needsBothASuspectAndAConfirmation) {
+  Detector.answered(Target, 1, Now);
+  Detector.broken(Suspect, Now + seconds(1));
+  Detector.incarnationSeen(Target, "1", Now + seconds(1));
+  CHECK(Detector.takeReports().empty());
+  Detector.unreachable(Target, Now + seconds(2));
+  CHECK(Detector.takeReports() == std::vector<crash_report>({Suspect}));
+  Detector.unreachable(Target, Now + seconds(3));
+  CHECK(Detector.takeReports().empty());
+}
+
+TEST(CrashDetector, aTargetThatAnsweredNothingElseMakesNoSuspect) {
+  Detector.answered(Target, Poison, Now);
+  Detector.broken(Suspect, Now + seconds(1));
+  Detector.unreachable(Target, Now + seconds(2));
+  CHECK(Detector.takeReports().empty());
+}
+
+TEST(CrashDetector, aBreakWithoutConfirmationIsForgotten) {
+  Detector.answered(Target, 1, Now);
+  Detector.broken(Suspect, Now + seconds(1));
+  Detector.unreachable(Target, Now + seconds(12));
+  CHECK(Detector.takeReports().empty());
+}
+
+TEST(CrashDetector, aRequestAnsweredLatelyIsNoSuspect) {
+  Detector.answered(base::target_id("b"), Poison, Now);
+  Detector.answered(Target, 1, Now);
+  Detector.broken(Suspect, Now + seconds(1));
+  Detector.unreachable(Target, Now + seconds(2));
+  CHECK(Detector.takeReports().empty());
+}
+
+TEST_GROUP(Fingerprint){};
+
+TEST(Fingerprint, textRoundTripAndSeparateFields) {
+  fulmar::testing::checkProperty("round trip", [](std::uint64_t Value) {
+    RC_ASSERT(parseFingerprint(fingerprintText(Value)) == Value);
+  });
+  CHECK(!parseFingerprint("").has_value());
+  CHECK(!parseFingerprint("00000000000000zz").has_value());
+  CHECK(fingerprintOfContent("GET", "/a", "b") !=
+        fingerprintOfContent("GET", "/ab", ""));
+  CHECK(fingerprintOfKey("s", "k") != fingerprintOfKey("sk", ""));
+}
