--- a/modules/consensus/include/fulmar/consensus/consensustypes.h
+++ b/modules/consensus/include/fulmar/consensus/consensustypes.h
@@ -133,7 +133,10 @@
 
 struct log_status {
   replica_id Id;
+  /// Empty while the instance belongs to no cluster.
   std::string ClusterId;
+  /// This instance's disk; it counts only where Members lists it as a voter.
+  std::string StorageId;
   role Role = role::Follower;
   log_term Term = 0;
   /// Empty when unknown.
--- a/modules/consensus/include/fulmar/consensus/replica.h
+++ b/modules/consensus/include/fulmar/consensus/replica.h
@@ -170,7 +170,7 @@
   void continueTransfer(base::instant Now);
 
   // Membership and formation of a new cluster.
-  base::result<log_index> changeMembers(configuration Members,
+  base::result<log_index> changeMembers(const configuration &Members,
                                         base::instant Now);
   base::result<void> checkLeader() const;
   void maintainMembers(base::instant Now);
--- a/modules/consensus/internal/replicamembership.cpp
+++ b/modules/consensus/internal/replicamembership.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-base::result<log_index> replica::changeMembers(configuration Members,
+base::result<log_index> replica::changeMembers(const configuration &Members,
                                                base::instant Now) {
   stepDownWithoutQuorum(Now);
   BOOST_OUTCOME_TRY(checkLeader());
@@ -44,7 +44,7 @@
     return base::fail(base::error_kind::Conflict,
                       Added + " is a member already");
   Members.Learners.push_back({Added, {}});
-  return changeMembers(std::move(Members), Now);
+  return changeMembers(Members, Now);
 }
 
 base::result<log_index> replica::removeMember(const replica_id &Removed,
@@ -57,7 +57,7 @@
   if (Members.Voters.empty())
     return base::fail(base::error_kind::Conflict,
                       Removed + " is the only voter");
-  return changeMembers(std::move(Members), Now);
+  return changeMembers(Members, Now);
 }
 
 void replica::syncPeers() {
@@ -79,8 +79,8 @@
   if (Role != role::Leader || !TransferTarget.empty() || Commit < TermStart ||
       Log.membersIndex() > Commit)
     return;
-  if (auto Members = nextMembers(Now))
-    (void)changeMembers(std::move(*Members), Now);
+  if (const auto Members = nextMembers(Now))
+    (void)changeMembers(*Members, Now);
 }
 
 std::optional<configuration> replica::nextMembers(base::instant Now) const {
--- a/modules/consensus/internal/replicatedlog.cpp
+++ b/modules/consensus/internal/replicatedlog.cpp
@@ -285,6 +285,7 @@
 log_status replicated_log::status(base::instant Now) const {
   return {.Id = Options.Replica.Id,
           .ClusterId = Replica->clusterId(),
+          .StorageId = Replica->storageId(),
           .Role = Replica->currentRole(),
           .Term = Replica->term(),
           .Leader = Replica->leader(),
