--- /dev/null
+++ b/modules/routing/bench/queueingmodel.h
@@ -0,0 +1,123 @@
+// A deterministic queueing model of targets behind routers in virtual time, to
+// compare pick strategies. Targets serve first come, first served on a fixed
+// number of slots; requests arrive as a Poisson process.
+
+#ifndef FULMAR_ROUTING_QUEUEINGMODEL_H
+#define FULMAR_ROUTING_QUEUEINGMODEL_H
+
+#include "fulmar/base/random.h"
+#include "fulmar/routing/router.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace fulmar::routing {
+
+struct model_options {
+  std::string Strategy = "adaptive";
+  std::size_t Targets = 10;
+  std::size_t Entries = 2;
+  std::uint32_t Slots = 4;
+  /// Requests in flight that each entry may have at each target.
+  std::uint32_t Granted = 16;
+  /// Share of the healthy targets' slots that is busy on average.
+  double Load = 0.4;
+  /// The first target is ten times slower.
+  bool Straggler = false;
+  /// The last target refuses every request at once.
+  bool FailFast = false;
+  /// Targets slow down for some milliseconds at random.
+  bool Shifting = false;
+  /// Share of requests whose service takes thirty times longer.
+  double LongShare = 0;
+  std::size_t Requests = 20000;
+  std::uint64_t Seed = 1;
+};
+
+struct model_result {
+  double P50Ms = 0;
+  double P99Ms = 0;
+  double P999Ms = 0;
+  /// Share of requests without an answer.
+  double FailedShare = 0;
+  /// Share of attempts at the first and at the last target.
+  double FirstTargetShare = 0;
+  double LastTargetShare = 0;
+};
+
+class queueing_model {
+public:
+  explicit queueing_model(const model_options &Chosen);
+  model_result run();
+
+private:
+  enum class event_kind : std::uint8_t { Arrival, Completion, Tick, Publish };
+  struct event {
+    base::instant Time{};
+    std::uint64_t Sequence = 0;
+    event_kind Kind = event_kind::Tick;
+    std::size_t Entry = 0;
+    std::uint64_t Id = 0;
+
+    friend bool operator>(const event &A, const event &B) {
+      return std::tie(A.Time, A.Sequence) > std::tie(B.Time, B.Sequence);
+    }
+  };
+  struct request {
+    base::instant Arrived{};
+    request_profile Profile;
+    std::vector<attempt> Attempts;
+  };
+  struct sent_attempt {
+    permit Permit;
+    std::uint64_t Request = 0;
+    attempt Outcome;
+  };
+  struct entry {
+    std::unique_ptr<router> Router;
+    std::unordered_map<ticket_id, std::uint64_t> Waiting;
+    std::unordered_map<std::uint64_t, sent_attempt> Sent;
+  };
+  struct target {
+    std::vector<base::instant> SlotFree;
+    std::uint32_t InFlight = 0;
+    std::uint64_t Attempts = 0;
+    base::instant SlowUntil{};
+  };
+
+  void schedule(base::duration After, event_kind Kind, std::size_t Entry = 0,
+                std::uint64_t Id = 0);
+  void handle(const event &Event);
+  void arrive();
+  void complete(std::size_t Entry, std::uint64_t Permit);
+  void publish();
+  void ask(std::size_t Entry, std::uint64_t Id);
+  void answer(std::size_t Entry, const std::vector<ticket_answer> &Answers);
+  void send(std::size_t Entry, const permit &Permit, std::uint64_t Id);
+  base::duration serve(std::size_t Target, attempt &Outcome);
+  double exponential();
+  void end(std::uint64_t Id, bool Answered);
+  [[nodiscard]] model_result summary();
+
+  model_options Options;
+  base::random_source Random;
+  base::instant Now{std::chrono::seconds(1000)};
+  std::uint64_t Sequence = 0;
+  std::uint64_t LastRequest = 0;
+  std::priority_queue<event, std::vector<event>, std::greater<>> Events;
+  std::vector<entry> Entries;
+  std::vector<target> Targets;
+  std::unordered_map<std::uint64_t, request> Requests;
+  std::vector<double> LatenciesMs;
+  std::size_t Failed = 0;
+};
+
+} // namespace fulmar::routing
+
+#endif // FULMAR_ROUTING_QUEUEINGMODEL_H
--- a/modules/routing/internal/adaptivestrategy.cpp
+++ b/modules/routing/internal/adaptivestrategy.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::size_t Draws = 3;
 /// Slowness up to which a target counts as typical.
-constexpr double TypicalSlowness = 1.3;
+constexpr double TypicalSlowness = 2;
 /// Weight of a fully loaded report against one request in flight.
 constexpr double LoadWeight = 0.5;
 
--- a/modules/routing/internal/outlierdetector.cpp
+++ b/modules/routing/internal/outlierdetector.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Weight of a new record in the smoothed values.
-constexpr double Smoothing = 0.2;
+constexpr double Smoothing = 0.1;
 /// Ratio to the smoothed service time that one record may have at most, so
 /// that a single long upload does not pass for a slow target.
 constexpr double MaxLogStep = 2.5;
--- a/modules/routing/internal/targetstate.cpp
+++ b/modules/routing/internal/targetstate.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr base::duration LoadHalfLife = std::chrono::milliseconds(100);
+constexpr base::duration LoadHalfLife = std::chrono::milliseconds(20);
 
 } // namespace
 
--- /dev/null
+++ b/modules/routing/tests/admissionqueue_tests.cpp
@@ -0,0 +1,139 @@
+// The waiting queue against a plain list: order, bounds, one answer each.
+
+#include "fulmar/routing/admissionqueue.h"
+#include "fulmar/testing/property.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+using namespace fulmar;
+using namespace fulmar::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const queue_limits Limits = {.Length = 4, .Age = milliseconds(100)};
+
+waiter waiterOf(ticket_id Ticket, std::uint8_t Priority, base::instant Deadline,
+                base::instant Now) {
+  return {.Ticket = Ticket,
+          .Request = {.Deadline = Deadline, .Priority = Priority},
+          .Enqueued = Now};
+}
+
+auto orderOf(const waiter &Waiter) {
+  return std::tuple(Waiter.Request.Priority, Waiter.Request.Deadline,
+                    Waiter.Ticket);
+}
+
+bool all(const waiter & /*Waiter*/) { return true; }
+
+/// A vector that is searched for everything.
+class naive_queue {
+public:
+  std::vector<waiter> Waiters;
+
+  waiter takeBest() {
+    const auto Best = std::min_element(Waiters.begin(), Waiters.end(),
+                                       [](const waiter &A, const waiter &B) {
+                                         return orderOf(A) < orderOf(B);
+                                       });
+    return take(Best);
+  }
+  waiter takeWorst() {
+    const auto Worst = std::max_element(Waiters.begin(), Waiters.end(),
+                                        [](const waiter &A, const waiter &B) {
+                                          return orderOf(A) < orderOf(B);
+                                        });
+    return take(Worst);
+  }
+  std::set<ticket_id> expire(base::instant Now) {
+    std::set<ticket_id> Gone;
+    for (const waiter &Waiter : Waiters)
+      if (Now >= Waiter.Request.Deadline || Now >= Waiter.Enqueued + Limits.Age)
+        Gone.insert(Waiter.Ticket);
+    std::erase_if(Waiters, [&Gone](const waiter &Waiter) {
+      return Gone.contains(Waiter.Ticket);
+    });
+    return Gone;
+  }
+
+private:
+  waiter take(std::vector<waiter>::iterator Place) {
+    const waiter Taken = *Place;
+    Waiters.erase(Place);
+    return Taken;
+  }
+};
+
+std::set<ticket_id> ticketsOf(const std::vector<refused_waiter> &Refused) {
+  std::set<ticket_id> Tickets;
+  for (const refused_waiter &Entry : Refused)
+    Tickets.insert(Entry.Waiter.Ticket);
+  return Tickets;
+}
+
+} // namespace
+
+TEST_GROUP(AdmissionQueue){};
+
+TEST(AdmissionQueue, equalsThePlainList) {
+  fulmar::testing::checkProperty("queue equals list", [] {
+    admission_queue Queue;
+    naive_queue Naive;
+    base::instant Now(seconds(1));
+    ticket_id Ticket = 0;
+    const auto Steps =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 6), rc::gen::inRange(0, 3),
+                           rc::gen::inRange(1, 200)));
+    for (const auto &[Event, Priority, Millis] : Steps) {
+      Now += milliseconds(Millis / 4);
+      if (Event < 4) {
+        const waiter Arrived =
+            waiterOf(++Ticket, static_cast<std::uint8_t>(Priority),
+                     Now + milliseconds(Millis), Now);
+        std::set<ticket_id> Expected;
+        Naive.Waiters.push_back(Arrived);
+        if (Naive.Waiters.size() > Limits.Length)
+          Expected.insert(Naive.takeWorst().Ticket);
+        RC_ASSERT(ticketsOf(Queue.add(Arrived, Limits, Now)) == Expected);
+      } else if (Event == 4) {
+        const auto Taken = Queue.takeFirst(all);
+        RC_ASSERT(Taken.has_value() == !Naive.Waiters.empty());
+        if (Taken)
+          RC_ASSERT(Taken->Ticket == Naive.takeBest().Ticket);
+      } else {
+        RC_ASSERT(ticketsOf(Queue.expire(Limits, Now)) == Naive.expire(Now));
+      }
+      RC_ASSERT(Queue.size() == Naive.Waiters.size());
+      RC_ASSERT(Queue.size() <= Limits.Length);
+    }
+  });
+}
+
+TEST(AdmissionQueue, shedsWhatCantMeetItsDeadline) {
+  admission_queue Queue;
+  const base::instant Now(seconds(1));
+  const auto Refused = Queue.add(waiterOf(1, 0, Now + milliseconds(10), Now),
+                                 Limits, Now + milliseconds(10));
+  CHECK(Refused.size() == 1);
+  CHECK(Refused.front().Reason == base::error_kind::DeadlinePassed);
+  CHECK(Queue.empty());
+}
+
+TEST(AdmissionQueue, aFullQueueGivesUpTheLeastImportant) {
+  admission_queue Queue;
+  const base::instant Now(seconds(1));
+  for (ticket_id Ticket = 1; Ticket <= 4; ++Ticket)
+    Queue.add(waiterOf(Ticket, 5, Now + seconds(Ticket), Now), Limits, Now);
+  const auto Refused =
+      Queue.add(waiterOf(5, 0, Now + seconds(9), Now), Limits, Now);
+  CHECK(ticketsOf(Refused) == std::set<ticket_id>({4}));
+  CHECK(Refused.front().Reason == base::error_kind::Saturated);
+  CHECK(Queue.takeFirst(all)->Ticket == 5);
+  CHECK(Queue.remove(1));
+  CHECK(!Queue.remove(1));
+}
--- /dev/null
+++ b/modules/routing/tests/outlierdetector_tests.cpp
@@ -0,0 +1,142 @@
+// Tests of the comparison of targets with their peers.
+
+#include "fulmar/routing/outlierdetector.h"
+#include "fulmar/testing/property.h"
+
+#include <cmath>
+
+using namespace fulmar;
+using namespace fulmar::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<base::target_id> targetsOf(std::size_t Count) {
+  std::vector<base::target_id> Targets;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Targets.emplace_back("t" + std::to_string(Index));
+  return Targets;
+}
+
+} // namespace
+
+TEST_GROUP(OutlierDetector) {
+  outlier_detector Detector{{}};
+  base::instant Now{seconds(100)};
+  std::vector<base::target_id> Targets = targetsOf(10);
+
+  void setup() override { Detector.setTargets(Targets, Now); }
+
+  /// Ten records at each target; only the first one differs.
+  void recordRound(attempt_quality First, base::duration FirstTime) {
+    for (int Number = 0; Number < 10; ++Number) {
+      for (std::size_t Index = 1; Index < Targets.size(); ++Index)
+        Detector.record(Targets[Index], attempt_quality::Good, milliseconds(10),
+                        Now);
+      Detector.evaluate(Now);
+      Detector.record(Targets[0], First, FirstTime, Now);
+    }
+  }
+
+  target_standing standing() { return Detector.healthOf(Targets[0])->Standing; }
+};
+
+TEST(OutlierDetector, ejectsAStragglerAndLetsItEarnItsShareBack) {
+  recordRound(attempt_quality::Good, milliseconds(100));
+  CHECK(standing() == target_standing::Ejected);
+  DOUBLES_EQUAL(0, Detector.healthOf(Targets[0])->Share, 0);
+  Now += seconds(1);
+  Detector.evaluate(Now);
+  CHECK(standing() == target_standing::Probation);
+  double Share = Detector.healthOf(Targets[0])->Share;
+  CHECK(Share > 0 && Share <= 0.05);
+  while (standing() == target_standing::Probation) {
+    Detector.record(Targets[0], attempt_quality::Good, milliseconds(10), Now);
+    CHECK(Detector.healthOf(Targets[0])->Share > Share);
+    Share = Detector.healthOf(Targets[0])->Share;
+  }
+  CHECK(standing() == target_standing::Active);
+}
+
+TEST(OutlierDetector, failingAProbationDoublesTheEjection) {
+  recordRound(attempt_quality::Good, milliseconds(100));
+  base::duration Expected = seconds(1);
+  for (int Round = 0; Round < 8; ++Round) {
+    const base::instant Until = Detector.healthOf(Targets[0])->EjectedUntil;
+    CHECK(Until - Now == Expected);
+    Now = Until;
+    Detector.evaluate(Now);
+    CHECK(standing() == target_standing::Probation);
+    Detector.record(Targets[0], attempt_quality::Error, milliseconds(1), Now);
+    CHECK(standing() == target_standing::Ejected);
+    Expected = std::min<base::duration>(Expected * 2, seconds(30));
+  }
+}
+
+TEST(OutlierDetector, fastErrorsAreNoFastAnswers) {
+  recordRound(attempt_quality::Error, std::chrono::microseconds(100));
+  CHECK(standing() == target_standing::Ejected);
+}
+
+TEST(OutlierDetector, threeBreaksInARowEject) {
+  for (int Number = 0; Number < 3; ++Number) {
+    CHECK(standing() == target_standing::Active);
+    Detector.record(Targets[0], attempt_quality::Break, milliseconds(1), Now);
+  }
+  CHECK(standing() == target_standing::Ejected);
+}
+
+TEST(OutlierDetector, errorsOfAllPeersEjectNobody) {
+  for (int Number = 0; Number < 30; ++Number) {
+    for (const base::target_id &Target : Targets)
+      Detector.record(Target, attempt_quality::Error, milliseconds(1), Now);
+    Detector.evaluate(Now);
+  }
+  CHECK(Detector.ejected() <= Detector.maxEjected());
+  // One after another they would all be outliers before their peers follow.
+  Now += seconds(40);
+  Detector.evaluate(Now);
+  for (int Number = 0; Number < 30; ++Number)
+    for (const base::target_id &Target : Targets)
+      Detector.record(Target, attempt_quality::Error, milliseconds(1), Now);
+  CHECK(Detector.ejected() <= Detector.maxEjected());
+}
+
+TEST(OutlierDetector, oneLongUploadEjectsNobody) {
+  recordRound(attempt_quality::Good, milliseconds(10));
+  Detector.record(Targets[0], attempt_quality::Good, seconds(600), Now);
+  Detector.evaluate(Now);
+  CHECK(standing() == target_standing::Active);
+}
+
+TEST_GROUP(EjectedShare){};
+
+TEST(EjectedShare, isNeverAboveTheBound) {
+  fulmar::testing::checkProperty("ejected share", [] {
+    const double Share = *rc::gen::inRange(0, 101) / 100.0;
+    auto Count = *rc::gen::inRange<std::size_t>(0, 15);
+    outlier_detector Detector({.MaxEjectedShare = Share});
+    base::instant Now(seconds(100));
+    Detector.setTargets(targetsOf(Count), Now);
+    const auto Steps =
+        *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            rc::gen::tuple(rc::gen::inRange(0, 15), rc::gen::inRange(0, 6),
+                           rc::gen::inRange(1, 2000)));
+    for (const auto &[Index, Event, Millis] : Steps) {
+      Now += milliseconds(Millis);
+      const base::target_id Target("t" + std::to_string(Index));
+      if (Event < 4)
+        for (int Repeat = 0; Repeat < 6; ++Repeat)
+          Detector.record(Target, static_cast<attempt_quality>(Event),
+                          milliseconds(Millis), Now);
+      else if (Event == 4)
+        Detector.evaluate(Now);
+      else
+        Detector.setTargets(targetsOf(Count = static_cast<std::size_t>(Index)),
+                            Now);
+      RC_ASSERT(static_cast<double>(Detector.ejected()) <=
+                Share * static_cast<double>(Count));
+    }
+  });
+}
--- /dev/null
+++ b/modules/routing/tests/retrybudget_tests.cpp
@@ -0,0 +1,162 @@
+// Tests of the retry budget and of its bound through nested levels.
+
+#include "fulmar/base/random.h"
+#include "fulmar/routing/hedging.h"
+#include "fulmar/routing/retrybudget.h"
+#include "fulmar/routing/verdict.h"
+#include "fulmar/testing/property.h"
+
+#include <array>
+#include <vector>
+
+using namespace fulmar;
+using namespace fulmar::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t Levels = 24;
+constexpr std::uint32_t Percent = 10;
+/// The bound that retrybudget.h states, without the tokens of the start.
+constexpr double StatedFactor = 1 + Levels * Percent / 100.0;
+
+/// Services that call each other in a chain, each behind its own router; only
+/// the decisions on retries are real.
+class call_chain {
+public:
+  call_chain(std::uint64_t Seed, double FailureShare)
+      : Random(Seed), Failure(FailureShare) {}
+
+  /// One call at \p Level; true when it was answered.
+  attempt call(std::size_t Level, bool Marked) {
+    ++Calls[Level];
+    if (Level + 1 == Levels)
+      return absl::Uniform(Random, 0.0, 1.0) < Failure ? failed() : answered();
+    const request_profile Request = {.Idempotent = true,
+                                     .Replayable = true,
+                                     .Deadline = base::instant(seconds(1)),
+                                     .RetryOfCaller = Marked};
+    if (!Marked)
+      Budgets[Level].deposit(Percent);
+    std::vector<attempt> Attempts = {call(Level + 1, Marked)};
+    while (Attempts.back().Status != 200 &&
+           !furtherAttemptRefusal(
+               Request, Attempts,
+               {.MaxAttempts = 4, .BudgetLeft = Budgets[Level].available()})) {
+      Budgets[Level].withdraw();
+      Attempts.push_back(call(Level + 1, true));
+    }
+    return Attempts.back();
+  }
+
+  std::array<std::uint64_t, Levels> Calls{};
+
+private:
+  static attempt answered() {
+    return {.BytesSent = true, .End = attempt_end::Answered, .Status = 200};
+  }
+  static attempt failed() {
+    return {.BytesSent = true, .End = attempt_end::Answered, .Status = 503};
+  }
+
+  base::random_source Random;
+  double Failure;
+  std::array<retry_budget, Levels> Budgets;
+};
+
+} // namespace
+
+TEST_GROUP(RetryBudget){};
+
+TEST(RetryBudget, amplificationOver24LevelsStaysUnderTheStatedFactor) {
+  constexpr double Requests = 1000;
+  constexpr double StartTokens = retry_budget::MaxTokens * Levels;
+  for (std::uint64_t Seed = 0; Seed < 20; ++Seed) {
+    for (const double Failure : {0.01, 0.1, 0.5, 1.0}) {
+      call_chain Chain(Seed, Failure);
+      for (int Number = 0; Number < static_cast<int>(Requests); ++Number)
+        Chain.call(0, false);
+      for (const std::uint64_t Calls : Chain.Calls)
+        CHECK(static_cast<double>(Calls) <=
+              Requests * StatedFactor + StartTokens);
+    }
+  }
+}
+
+TEST(RetryBudget, isARatioOfFirstAttempts) {
+  fulmar::testing::checkProperty("ratio", [](std::uint64_t Seed) {
+    base::random_source Random(Seed);
+    retry_budget Budget;
+    double Deposits = 0;
+    double Withdrawn = 0;
+    for (int Step = 0; Step < 500; ++Step) {
+      if (absl::Uniform(Random, 0, 3) == 0) {
+        Budget.deposit(Percent);
+        ++Deposits;
+      } else if (Budget.withdraw()) {
+        ++Withdrawn;
+      }
+      RC_ASSERT(Withdrawn <=
+                retry_budget::MaxTokens + Deposits * Percent / 100 + 1e-6);
+    }
+  });
+}
+
+TEST_GROUP(Hedging) {
+  service_times Times;
+  retry_budget Budget;
+  routing_policy Policy;
+  base::instant Now{seconds(1)};
+  request_profile Request = {.Idempotent = true,
+                             .Replayable = true,
+                             .Deadline = base::instant(seconds(10))};
+
+  void setup() override {
+    for (int Number = 1; Number <= 1000; ++Number)
+      Times.record(milliseconds(Number));
+  }
+
+  bool hedged() const {
+    return hedgeAfter(Request, Policy, Times, Budget, Now).has_value();
+  }
+};
+
+TEST(Hedging, waitsForTheQuantile) {
+  const auto Delay = hedgeAfter(Request, Policy, Times, Budget, Now);
+  CHECK(Delay.has_value());
+  CHECK(*Delay >= milliseconds(950) && *Delay <= milliseconds(1140));
+}
+
+TEST(Hedging, needsAnIdempotentReplayableFirstRequestAndABudget) {
+  CHECK(hedged());
+  Request.Idempotent = false;
+  CHECK(!hedged());
+  Request.Idempotent = true;
+  Request.Replayable = false;
+  CHECK(!hedged());
+  Request.Replayable = true;
+  Request.RetryOfCaller = true;
+  CHECK(!hedged());
+  Request.RetryOfCaller = false;
+  Request.Deadline = Now + milliseconds(500);
+  CHECK(!hedged());
+  Request.Deadline = base::instant(seconds(10));
+  Policy.HedgeEnabled = false;
+  CHECK(!hedged());
+  Policy.HedgeEnabled = true;
+  while (Budget.withdraw())
+    CHECK(hedged() == Budget.available());
+  CHECK(!hedged());
+}
+
+TEST(Hedging, fewRecordsGiveNoEstimate) {
+  const service_times Empty;
+  CHECK(!Empty.quantile(0.5).has_value());
+}
+
+TEST(Hedging, theEstimateFollowsThePresent) {
+  for (int Number = 0; Number < 20000; ++Number)
+    Times.record(milliseconds(5));
+  CHECK(*Times.quantile(0.95) <= milliseconds(6));
+}
