--- a/modules/consensus/include/fulmar/consensus/replica.h
+++ b/modules/consensus/include/fulmar/consensus/replica.h
@@ -158,6 +158,7 @@
   void sendSnapshotChunk(const replica_id &To, peer &Peer, base::instant Now);
   void sendAllAppends(base::instant Now);
   void sendHeartbeats(base::instant Now);
+  static void noteSuccess(peer &Peer);
   void retryStalled(base::instant Now);
   void advanceCommit(base::instant Now);
   void installSnapshot(const snapshot_request &Body);
--- a/modules/consensus/internal/replicareplication.cpp
+++ b/modules/consensus/internal/replicareplication.cpp
@@ -94,6 +94,24 @@
   return &Peer;
 }
 
+void replica::noteSuccess(peer &Peer) {
+  switch (Peer.Mode) {
+  case peer_mode::Probe:
+    Peer.Mode = peer_mode::Replicate;
+    Peer.Next = Peer.Match + 1;
+    Peer.InFlight = 0;
+    return;
+  case peer_mode::Replicate:
+    Peer.InFlight -= std::min<std::size_t>(Peer.InFlight, 1);
+    return;
+  case peer_mode::Snapshot:
+    // A late answer; the snapshot's own answers count its requests.
+    if (!Peer.Sending || Peer.Match >= Peer.Sending->Index)
+      Peer.probeAgain();
+    return;
+  }
+}
+
 void replica::on(const message &Message, const append_response &Body,
                  base::instant Now) {
   peer *Peer = noteAnswer(Message, Body.SentAt, Now);
@@ -110,13 +128,7 @@
   }
   Peer->Match = std::max(Peer->Match, Body.Match);
   Peer->Next = std::max(Peer->Next, Peer->Match + 1);
-  if (Peer->Mode == peer_mode::Probe) {
-    Peer->Mode = peer_mode::Replicate;
-    Peer->Next = Peer->Match + 1;
-    Peer->InFlight = 0;
-  } else if (Peer->InFlight > 0) {
-    --Peer->InFlight;
-  }
+  noteSuccess(*Peer);
   advanceCommit(Now);
   if (Role != role::Leader)
     return;
