--- a/modules/directory/internal/sharedivider.cpp
+++ b/modules/directory/internal/sharedivider.cpp
@@ -17,7 +17,8 @@
 struct division {
   std::uint32_t Floor = 0;
   std::uint64_t ByWeight = 0;
-  std::uint64_t Weights = 0;
+  /// Positive, as every claim's weight is.
+  std::uint64_t Weights = 1;
 
   [[nodiscard]] std::uint32_t baseOf(const share_claim &Claim) const {
     return Floor +
@@ -28,8 +29,10 @@
 division divide(std::span<const share_claim> Claims, std::uint32_t Capacity) {
   division Division{.Floor = Capacity >= Claims.size() ? 1U : 0U};
   Division.ByWeight = Capacity - Division.Floor * Claims.size();
+  std::uint64_t Weights = 0;
   for (const share_claim &Claim : Claims)
-    Division.Weights += Claim.Weight;
+    Weights += Claim.Weight;
+  Division.Weights = std::max<std::uint64_t>(Weights, 1);
   return Division;
 }
 
