Directory: promises of shares under disturbance; turns end at once

Cause: with one slot and twenty entries a turn of three grants left an entry without a share for over a minute. Ruled out: shorter reclaim by the owner's clock, which would count on messages' delays; the entry confirms a withdrawn share at once instead, so that a turn can be one grant long.

--- a/modules/directory/include/fulmar/directory/shareview.h
+++ b/modules/directory/include/fulmar/directory/shareview.h
@@ -43,8 +43,10 @@
   /// The next request to \p Owner.
   share_request nextRequest(const base::instance_id &Owner,
                             const router_counters &Counters, base::instant Now);
-  /// An answer of \p Owner. Answers to older requests are ignored.
-  void onAnswer(const base::instance_id &Owner, const share_answer &Answer,
+  /// An answer of \p Owner. Answers to older requests are ignored. True when
+  /// it took back some permission: another request at once tells the owner
+  /// that this is in force, so that others can have it.
+  bool onAnswer(const base::instance_id &Owner, const share_answer &Answer,
                 base::instant Now);
 
   /// Targets of \p Service that may be given new work now.
@@ -100,6 +102,8 @@
                  base::instant SentAt, base::instant Now);
   [[nodiscard]] bool concerns(const base::instance_id &Owner,
                               const base::target_id &Target) const;
+  [[nodiscard]] bool takesBack(const base::instance_id &Owner,
+                               const share_answer &Answer) const;
   void forgetOld(base::instant Now);
 
   share_view_options Options;
--- a/modules/directory/internal/shareledger.cpp
+++ b/modules/directory/internal/shareledger.cpp
@@ -15,8 +15,6 @@
 
 /// Validities of a grant after which a silent entry has no claim any more.
 constexpr int ClaimGrants = 2;
-/// Validities of a grant that a turn lasts.
-constexpr int TurnGrants = 3;
 
 } // namespace
 
@@ -103,7 +101,7 @@
   if (!Entitled.Turn || Free <= Entitled.Base)
     return std::min(Entitled.Base, Free);
   if (!Claims[Asking].InTurn) {
-    Own.TurnUntil = Now + TurnGrants * Options.Permission.Grant;
+    Own.TurnUntil = Now + Options.Permission.Grant;
     Own.Pass += 1.0 / Claims[Asking].Weight;
   }
   return Entitled.Base + 1;
--- a/modules/directory/internal/shareview.cpp
+++ b/modules/directory/internal/shareview.cpp
@@ -82,12 +82,26 @@
   });
 }
 
-void share_view::onAnswer(const base::instance_id &Owner,
+bool share_view::takesBack(const base::instance_id &Owner,
+                           const share_answer &Answer) const {
+  return std::any_of(Grants.begin(), Grants.end(), [&](const auto &Held) {
+    if (Held.second.Owner != Owner)
+      return false;
+    const auto Kept = std::find_if(
+        Answer.Grants.begin(), Answer.Grants.end(),
+        [&](const grant &Grant) { return Grant.Target == Held.first; });
+    return Kept == Answer.Grants.end() ||
+           Kept->Granted < Held.second.Grant.Granted;
+  });
+}
+
+bool share_view::onAnswer(const base::instance_id &Owner,
                           const share_answer &Answer, base::instant Now) {
   owner_state &State = Owners[Owner];
   const auto Sent = State.SentAt.find(Answer.Sequence);
   if (Sent == State.SentAt.end() || Answer.Sequence <= State.Applied)
-    return;
+    return false;
+  const bool TakesBack = takesBack(Owner, Answer);
   const base::instant SentAt = Sent->second;
   State.Applied = Answer.Sequence;
   State.SentAt.erase(State.SentAt.begin(), std::next(Sent));
@@ -98,6 +112,7 @@
                 [&](const auto &Held) { return Held.second.Owner == Owner; });
   for (const grant &Grant : Answer.Grants)
     takeGrant(Owner, Grant, SentAt, Now);
+  return TakesBack;
 }
 
 void share_view::takeGrant(const base::instance_id &Owner, const grant &Grant,
