--- a/modules/directory/internal/targetowner.cpp
+++ b/modules/directory/internal/targetowner.cpp
@@ -19,6 +19,16 @@
   return Request.Entry.str() + "/" + Request.Incarnation;
 }
 
+using in_flight_index =
+    std::multimap<base::target_id, const target_in_flight *>;
+
+in_flight_index indexOf(const share_request &Request) {
+  in_flight_index Index;
+  for (const target_in_flight &InFlight : Request.InFlight)
+    Index.emplace(InFlight.Target, &InFlight);
+  return Index;
+}
+
 std::optional<std::uint32_t> wantedOf(const share_request &Request,
                                       const base::service_name &Service) {
   for (const service_demand &Demand : Request.Demands) {
@@ -28,16 +38,16 @@
   return std::nullopt;
 }
 
-share_report reportOn(const target_record &Record,
-                      const share_request &Request) {
+share_report reportOn(const target_record &Record, const share_request &Request,
+                      const in_flight_index &Index) {
   share_report Report{.Sequence = Request.Sequence,
                       .Applied = Request.Applied,
                       .SentAt = Request.SentAt,
                       .Wanted = wantedOf(Request, Record.announced().Service)};
-  for (const target_in_flight &InFlight : Request.InFlight) {
-    if (InFlight.Target == Record.announced().Id &&
-        Record.mayBeHere(InFlight.Incarnation))
-      Report.InFlight += InFlight.Count;
+  const auto [First, Last] = Index.equal_range(Record.announced().Id);
+  for (auto Found = First; Found != Last; ++Found) {
+    if (Record.mayBeHere(Found->second->Incarnation))
+      Report.InFlight += Found->second->Count;
   }
   return Report;
 }
@@ -95,7 +105,8 @@
     Record = std::make_unique<target_record>(Options, Announcement, Now);
   else
     Record->onAnnouncement(Announcement, Now);
-  Record->setInService(!OutOfService.contains(Announcement.DataCentre), Now);
+  Record->setInService(!OutOfService.contains(Record->announced().DataCentre),
+                       Now);
   notifyWhenChanged(*Record, Now);
 }
 
@@ -127,9 +138,10 @@
                       "a newer request was answered");
   Known = {.Sequence = Request.Sequence, .HeardAt = Now};
   observe(Request, Now);
+  const in_flight_index Index = indexOf(Request);
   share_answer Answer{.Sequence = Request.Sequence};
   for (const auto &[Id, Record] : Records) {
-    const share_report Report = reportOn(*Record, Request);
+    const share_report Report = reportOn(*Record, Request, Index);
     if (Report.Wanted || Report.InFlight > 0 || Record->Ledger.knows(Entry))
       Record->Ledger.onReport(Entry, Report, Now);
     if (!sampleActing(*Record, Now) || !Report.Wanted)
