Let hedges not wait and tell idle closes from resets

Cause: the proxy asks for a hedge while it watches the first answer, so a wait in the queue would delay that answer; a hedge without a free target is now refused at once and its token given back. A kept connection that was closed before any byte was sent counts as not run and no longer suspends its target, as no byte was handed over. Ruled out: lifting the suspension on a later answer, which may come from the old process.

--- a/modules/routing/include/fulmar/routing/retrybudget.h
+++ b/modules/routing/include/fulmar/routing/retrybudget.h
@@ -29,6 +29,8 @@
   [[nodiscard]] bool available() const { return Tokens >= 1; }
   /// Takes one token; false, and none taken, when there is none.
   bool withdraw();
+  /// The withdrawn token was not used.
+  void giveBack();
 
 private:
   /// Between 0 and MaxTokens.
--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -9,6 +9,7 @@
 #include "fulmar/base/result.h"
 #include "fulmar/routing/admissionqueue.h"
 #include "fulmar/routing/crashdetector.h"
+#include "fulmar/routing/outlierdetector.h"
 #include "fulmar/routing/quarantine.h"
 #include "fulmar/routing/routingpolicy.h"
 #include "fulmar/routing/routingtypes.h"
@@ -80,20 +81,23 @@
   /// Incarnation that the permit was given for.
   std::string Incarnation;
   observation_kind Kind = observation_kind::Reset;
+  /// The incarnation in the answer; only with IncarnationChanged.
+  std::string Seen;
 
   friend auto operator<=>(const observation &, const observation &) = default;
 };
 
-/// How much this instance wants to send to a target; for the share machinery.
-struct target_preference {
+/// A target as this instance judges it; for metrics and logs.
+struct target_report {
   base::target_id Target;
+  target_standing Standing = target_standing::Active;
   /// 0 while ejected, small in probation, 1 when healthy.
   double Share = 1;
   /// Service time relative to the median of the service's targets.
   double Slowness = 1;
 
-  friend auto operator<=>(const target_preference &,
-                          const target_preference &) = default;
+  friend auto operator<=>(const target_report &,
+                          const target_report &) = default;
 };
 
 struct router_options {
@@ -148,8 +152,8 @@
   [[nodiscard]] std::uint32_t demand(const base::service_name &Service) const;
   [[nodiscard]] std::vector<target_in_flight>
   inFlight(const base::service_name &Service) const;
-  [[nodiscard]] std::vector<target_preference>
-  preferences(const base::service_name &Service) const;
+  [[nodiscard]] std::vector<target_report>
+  targets(const base::service_name &Service) const;
   [[nodiscard]] std::size_t waiting() const;
   /// Returns and forgets what was observed since the last call.
   std::vector<observation> takeObservations();
--- a/modules/routing/internal/retrybudget.cpp
+++ b/modules/routing/internal/retrybudget.cpp
@@ -17,4 +17,6 @@
   return true;
 }
 
+void retry_budget::giveBack() { Tokens = std::min(MaxTokens, Tokens + 1); }
+
 } // namespace fulmar::routing
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -119,11 +119,10 @@
   return Found == nullptr ? std::vector<target_in_flight>{} : Found->inFlight();
 }
 
-std::vector<target_preference>
-router::preferences(const base::service_name &Service) const {
+std::vector<target_report>
+router::targets(const base::service_name &Service) const {
   const service_router *Found = find(Service);
-  return Found == nullptr ? std::vector<target_preference>{}
-                          : Found->preferences();
+  return Found == nullptr ? std::vector<target_report>{} : Found->targets();
 }
 
 std::size_t router::waiting() const {
--- a/modules/routing/internal/serviceobserving.cpp
+++ b/modules/routing/internal/serviceobserving.cpp
@@ -61,9 +61,10 @@
   return &*Place;
 }
 
-void service_router::note(const running &Ended, observation_kind Kind) {
+void service_router::note(const running &Ended, observation_kind Kind,
+                          const std::string &Seen) {
   if (Observations.size() < MaxObservations)
-    Observations.push_back({Ended.Target, Ended.Incarnation, Kind});
+    Observations.push_back({Ended.Target, Ended.Incarnation, Kind, Seen});
 }
 
 void service_router::observe(target_state &Target, const running &Ended,
@@ -71,13 +72,16 @@
   if (!Outcome.Incarnation.empty() &&
       Outcome.Incarnation != Ended.Incarnation) {
     Target.distrust(Ended.Incarnation);
-    note(Ended, observation_kind::IncarnationChanged);
+    note(Ended, observation_kind::IncarnationChanged, Outcome.Incarnation);
     return;
   }
   if (Target.current().Incarnation != Ended.Incarnation)
     return;
   const attempt_quality Quality = qualityOf(Outcome);
-  if (Quality == attempt_quality::Break) {
+  // A kept connection that was closed while idle says nothing of its target.
+  const bool ClosedIdle =
+      Outcome.End == attempt_end::Broken && !Outcome.BytesSent;
+  if (Quality == attempt_quality::Break && !ClosedIdle) {
     Target.suspendUntil(Now + SuspensionAfterBreak);
     note(Ended, observation_kind::Reset);
   } else if (Outcome.End == attempt_end::Refused) {
--- a/modules/routing/internal/servicerouter.cpp
+++ b/modules/routing/internal/servicerouter.cpp
@@ -22,6 +22,12 @@
   return A.current().Target < B;
 }
 
+/// The running attempt of a hedged request is recorded as timed out. A hedge
+/// does not wait: its caller is watching for the first answer.
+bool isHedge(std::span<const attempt> Earlier) {
+  return !Earlier.empty() && Earlier.back().End == attempt_end::TimedOut;
+}
+
 } // namespace
 
 void service_router::setPolicy(const routing_policy &Changed,
@@ -181,6 +187,11 @@
       return Result;
     }
   }
+  if (isHedge(Earlier)) {
+    Budget.giveBack();
+    Result.Answer = givenUpKind(Earlier, error_kind::Saturated);
+    return Result;
+  }
   const ticket_id Ticket = Arrived.Ticket;
   Result.Answer = queued{Ticket};
   for (const refused_waiter &Refused :
@@ -206,11 +217,12 @@
   return List;
 }
 
-std::vector<target_preference> service_router::preferences() const {
-  std::vector<target_preference> List;
+std::vector<target_report> service_router::targets() const {
+  std::vector<target_report> List;
   for (const target_state &Target : Targets)
     if (Target.Health != nullptr)
       List.push_back({.Target = Target.current().Target,
+                      .Standing = Target.Health->Standing,
                       .Share = Target.Health->Share,
                       .Slowness = Detector.slowness(*Target.Health)});
   return List;
--- a/modules/routing/internal/servicerouter.h
+++ b/modules/routing/internal/servicerouter.h
@@ -43,7 +43,7 @@
 
   [[nodiscard]] std::uint32_t demand() const;
   [[nodiscard]] std::vector<target_in_flight> inFlight() const;
-  [[nodiscard]] std::vector<target_preference> preferences() const;
+  [[nodiscard]] std::vector<target_report> targets() const;
   [[nodiscard]] std::size_t waiting() const { return Queue.size(); }
   std::vector<observation> takeObservations();
 
@@ -88,7 +88,8 @@
   target_state *findTarget(const base::target_id &Id);
   void observe(target_state &Target, const running &Ended,
                const attempt &Outcome, base::instant Now);
-  void note(const running &Ended, observation_kind Kind);
+  void note(const running &Ended, observation_kind Kind,
+            const std::string &Seen = "");
 
   base::random_source &Random;
   std::uint64_t &LastId;
--- a/modules/routing/internal/verdict.cpp
+++ b/modules/routing/internal/verdict.cpp
@@ -25,7 +25,7 @@
     {attempt_end::Answered, false, false, error_kind::OutcomeUnknown},
     {attempt_end::NotConnected, true, false, error_kind::OutcomeUnknown},
     {attempt_end::Refused, true, true, error_kind::OutcomeUnknown},
-    {attempt_end::Broken, false, false, error_kind::OutcomeUnknown},
+    {attempt_end::Broken, true, false, error_kind::OutcomeUnknown},
     {attempt_end::TimedOut, true, false, error_kind::TargetTimeout},
     {attempt_end::Truncated, false, false, error_kind::TruncatedAnswer},
     {attempt_end::Cancelled, true, false, error_kind::OutcomeUnknown},
@@ -61,10 +61,10 @@
 constexpr std::ptrdiff_t MaxBrokenAttempts = 2;
 
 bool maybeCrashing(std::span<const attempt> Attempts) {
-  return std::count_if(Attempts.begin(), Attempts.end(),
-                       [](const attempt &Attempt) {
-                         return Attempt.End == attempt_end::Broken;
-                       }) >= MaxBrokenAttempts;
+  return std::count_if(
+             Attempts.begin(), Attempts.end(), [](const attempt &Attempt) {
+               return Attempt.End == attempt_end::Broken && Attempt.BytesSent;
+             }) >= MaxBrokenAttempts;
 }
 
 /// Why a request that was not run is given up, from its last attempt.
@@ -80,10 +80,12 @@
 }
 
 bool reachedNoTarget(std::span<const attempt> Attempts) {
-  return std::all_of(
-      Attempts.begin(), Attempts.end(), [](const attempt &Attempt) {
-        return Attempt.End == attempt_end::NotConnected && !Attempt.BytesSent;
-      });
+  return std::all_of(Attempts.begin(), Attempts.end(),
+                     [](const attempt &Attempt) {
+                       return !Attempt.BytesSent &&
+                              (Attempt.End == attempt_end::NotConnected ||
+                               Attempt.End == attempt_end::Broken);
+                     });
 }
 
 error_kind givenUpKind(std::span<const attempt> Attempts, error_kind Reason) {
