--- a/modules/proxy/include/fulmar/proxy/callerexchange.h
+++ b/modules/proxy/include/fulmar/proxy/callerexchange.h
@@ -12,6 +12,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,8 +21,8 @@
 namespace fulmar::proxy {
 
 struct caller_exchange_options {
-  /// Closes the connection after the answer.
-  bool Close = false;
+  /// Closes the connection after the answer when it is set by then.
+  const std::atomic<bool> *Draining = nullptr;
   /// Longest wait for a caller that takes no byte of its answer.
   base::duration SendTimeout = std::chrono::seconds(30);
 };
@@ -70,7 +71,7 @@
 private:
   io_status sendHead(Poco::Net::HTTPResponse &Response, std::string_view Text);
   [[nodiscard]] base::instant sendDeadline() const;
-  [[nodiscard]] bool closes() const;
+  [[nodiscard]] bool mustClose() const;
 
   connection &Caller;
   const Poco::Net::HTTPRequest Request;
@@ -81,6 +82,8 @@
   bool Begun = false;
   // The whole answer was handed to the socket.
   bool Finished = false;
+  // What the answer's head said; constant from then on.
+  bool Closes = true;
   // The answer's end is marked by the end of the connection.
   bool EndsWithConnection = false;
 };
--- a/modules/proxy/internal/attemptrunner.cpp
+++ b/modules/proxy/internal/attemptrunner.cpp
@@ -34,7 +34,8 @@
     else
       awaitAnswers();
   }
-  // Exchanges that lost are cancelled by their destructors.
+  for (exchange &Exchange : Active)
+    fail(std::move(Exchange), attempt_end::Cancelled);
   Active.clear();
   return std::move(Outcome);
 }
@@ -50,6 +51,7 @@
 }
 
 void attempt_runner::startAttempt(std::span<const routing::attempt> Earlier) {
+  HedgeAt.reset();
   if (!Attempts.empty() && !maySendAgain())
     return giveUp({base::error_kind::OutcomeUnknown,
                    "the request can't be sent a second time"});
--- a/modules/proxy/internal/callerexchange.cpp
+++ b/modules/proxy/internal/callerexchange.cpp
@@ -25,6 +25,7 @@
 
 io_status caller_exchange::invite() {
   const bool Expected =
+      !Body.complete() &&
       equalsIgnoringCase(Request.get("Expect", ""), "100-continue");
   if (!Expected || std::exchange(Invited, true))
     return io_status::Done;
@@ -43,17 +44,18 @@
   }
 }
 
-bool caller_exchange::closes() const {
-  return Options.Close || EndsWithConnection || !keepsAlive(Request) ||
-         !Body.complete();
+bool caller_exchange::mustClose() const {
+  return (Options.Draining != nullptr && *Options.Draining) ||
+         EndsWithConnection || !keepsAlive(Request) || !Body.complete();
 }
 
-bool caller_exchange::reusable() const { return Finished && !closes(); }
+bool caller_exchange::reusable() const { return Finished && !Closes; }
 
 io_status caller_exchange::sendHead(HTTPResponse &Response,
                                     std::string_view Text) {
   Response.setVersion(HTTPMessage::HTTP_1_1);
-  Response.set(HTTPMessage::CONNECTION, closes() ? "close" : "keep-alive");
+  Closes = mustClose();
+  Response.set(HTTPMessage::CONNECTION, Closes ? "close" : "keep-alive");
   Begun = true;
   return Caller.send(textOf(Response).append(Text), sendDeadline());
 }
--- a/modules/proxy/internal/forwarder.cpp
+++ b/modules/proxy/internal/forwarder.cpp
@@ -36,18 +36,22 @@
         Caller(From), Request{.Head = From.request(),
                               .Framing = From.body().framing(),
                               .Id = std::move(RequestId)},
-        AnswerId(From.request().get("Fulmar-Request-Id", Request.Id)) {}
+        AnswerId(From.request().get("Fulmar-Request-Id", Request.Id)),
+        Parent(
+            telemetry::parseTraceparent(From.request().get("traceparent", ""))),
+        Started(currentInstant()), StartedAt(std::chrono::system_clock::now()) {
+    Request.Trace = telemetry::startChild(Parent);
+  }
 
   void run() {
-    const auto Prepared = prepare();
-    if (!Prepared.has_value())
-      return refuse(Prepared.error(), true);
-    if (!Request.Profile.IdempotencyKey)
-      return attempt();
-    claimAndAttempt();
+    serve();
+    report();
   }
 
 private:
+  void serve();
+  /// Counts the request and records its span.
+  void report() const;
   base::result<void> prepare();
   base::result<void> keepBody();
   void attempt();
@@ -68,11 +72,52 @@
   forward_request Request;
   /// The id that the caller sees: its own where it sent one.
   const std::string AnswerId;
+  const std::optional<telemetry::trace_context> Parent;
+  const base::instant Started;
+  const std::chrono::system_clock::time_point StartedAt;
   service_policy Policy;
   claims::claim_request Claim;
+  /// Name of the outcome in metrics and spans.
+  std::string Result = "answered";
   bool Claimed = false;
 };
 
+void forwarding::serve() {
+  const auto Prepared = prepare();
+  if (!Prepared.has_value())
+    return refuse(Prepared.error(), !Request.Head.has("Idempotency-Key"));
+  if (!Request.Profile.IdempotencyKey)
+    return attempt();
+  claimAndAttempt();
+}
+
+void forwarding::report() const {
+  const std::string &Service = Request.Profile.Service.str();
+  if (Parts.Metrics != nullptr) {
+    Parts.Metrics
+        ->counterOf(
+            "fulmar_requests_total",
+            telemetry::labels({{"service", Service}, {"result", Result}}))
+        .add();
+    Parts.Metrics
+        ->latencyOf("fulmar_request_seconds",
+                    telemetry::labels({{"service", Service}}))
+        .record(currentInstant() - Started);
+  }
+  if (Parts.Spans == nullptr)
+    return;
+  Parts.Spans->record({.Context = Request.Trace,
+                       .ParentSpanId = Parent ? Parent->SpanId : "",
+                       .Name = "forward",
+                       .Start = StartedAt,
+                       .End = std::chrono::system_clock::now(),
+                       .Attributes = {{"service", Service},
+                                      {"method", Request.Head.getMethod()},
+                                      {"request_id", Request.Id},
+                                      {"result", Result}},
+                       .Failed = Result != "answered"});
+}
+
 base::result<void> forwarding::prepare() {
   BOOST_OUTCOME_TRY(Service, serviceOf(Request.Head));
   const auto Found = Parts.PolicyOf(Service);
@@ -124,9 +169,9 @@
     return deliver(*Outcome.Winner, Outcome.Streaming);
   settleWithout(Runner);
   if (Outcome.Error)
-    refuse(*Outcome.Error, Runner.provedNotRun());
-  else
-    Caller.breakOff();
+    return refuse(*Outcome.Error, Runner.provedNotRun());
+  Result = "caller-gone";
+  Caller.breakOff();
 }
 
 void forwarding::claimAndAttempt() {
@@ -235,13 +280,16 @@
   default:
     Winner.finish(routing::attempt_end::Cancelled);
   }
-  if (End != transfer_end::Done)
+  if (End != transfer_end::Done) {
+    Result = "broken";
     Caller.breakOff();
+  }
   // Too large to record.
   settle(claims::claim_end::Unknown);
 }
 
 void forwarding::refuse(const base::error &Error, bool ProvedNotRun) {
+  Result = base::answerOf(Error.Kind).Name;
   sendRefusal(Caller, {.Error = Error,
                        .ProvedNotRun = ProvedNotRun,
                        .Entries = Parts.OtherEntries(),
--- a/modules/proxy/internal/frontconnection.cpp
+++ b/modules/proxy/internal/frontconnection.cpp
@@ -40,6 +40,23 @@
   const std::uint64_t Id;
 };
 
+/// False when \p Target is no valid URI.
+bool readTarget(const std::string &Target, plain_request &Request) {
+  try {
+    const Poco::URI Parsed(Target);
+    Request.Path = Parsed.getPath();
+    for (const auto &[Name, Value] : Parsed.getQueryParameters())
+      Request.Query[Name] = Value;
+    return true;
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void refusePlain(caller_exchange &Exchange, const base::error &Error) {
+  sendRefusal(Exchange, {.Error = Error, .ProvedNotRun = true});
+}
+
 HTTPResponse headOf(const plain_answer &Answer) {
   HTTPResponse Response;
   Response.setStatusAndReason(
@@ -116,7 +133,8 @@
 
 bool front_connection::serveExchange(const HTTPRequest &Request,
                                      body_framing Framing) {
-  caller_exchange Exchange(Caller, Request, Framing, {.Close = State.Draining});
+  caller_exchange Exchange(Caller, Request, Framing,
+                           {.Draining = &State.Draining});
   if (Exchange.request().getURI().starts_with(OwnPathPrefix))
     servePlain(Exchange);
   else
@@ -129,13 +147,11 @@
 }
 
 void front_connection::servePlain(caller_exchange &Exchange) {
-  const HTTPRequest &Head = Exchange.request();
-  const Poco::URI Target(Head.getURI());
-  plain_request Request{.Method = Head.getMethod(),
-                        .Path = Target.getPath(),
+  plain_request Request{.Method = Exchange.request().getMethod(),
                         .Peer = Caller.peer()};
-  for (const auto &[Name, Value] : Target.getQueryParameters())
-    Request.Query[Name] = Value;
+  if (!readTarget(Exchange.request().getURI(), Request))
+    return refusePlain(
+        Exchange, {base::error_kind::BadRequest, "malformed request target"});
   Exchange.invite();
   const body_state Read =
       Exchange.readWhole(Request.Body, State.Options.MaxPlainBodyBytes,
@@ -144,24 +160,19 @@
     const auto Kind = Read == body_state::Data
                           ? base::error_kind::RequestTooLarge
                           : base::error_kind::BadRequest;
-    sendRefusal(Exchange,
-                {.Error = {Kind, "body not accepted"}, .ProvedNotRun = true});
-    return;
+    return refusePlain(Exchange, {Kind, "body not accepted"});
   }
   const auto Path = State.Handlers.find(Request.Path);
-  if (Path == State.Handlers.end() || !Path->second.contains(Request.Method)) {
-    sendRefusal(Exchange, {.Error = {base::error_kind::NotFound,
-                                     "no such resource: " + Request.Path},
-                           .ProvedNotRun = true});
-    return;
-  }
+  if (Path == State.Handlers.end() || !Path->second.contains(Request.Method))
+    return refusePlain(Exchange, {base::error_kind::NotFound,
+                                  "no such resource: " + Request.Path});
   const plain_answer Answer = Path->second.at(Request.Method)(Request);
   HTTPResponse Response = headOf(Answer);
   Exchange.sendWhole(Response, Answer.Body);
 }
 
 void front_connection::refuseHead(const base::error &Fault) {
-  caller_exchange Exchange(Caller, HTTPRequest(), {}, {.Close = true});
+  caller_exchange Exchange(Caller, HTTPRequest(), {}, {});
   const bool HeadTooLarge = Fault.Kind == base::error_kind::RequestTooLarge;
   const refusal Refusal{.Error = Fault, .ProvedNotRun = true};
   if (!HeadTooLarge) {
--- a/modules/proxy/internal/messagehead.cpp
+++ b/modules/proxy/internal/messagehead.cpp
@@ -20,7 +20,7 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::string_view EmptyLine = "\r\n\r\n";
-constexpr int MaxFields = 200;
+constexpr std::size_t MaxLines = 200;
 
 constexpr std::array<std::string_view, 10> HopHeaders = {
     "connection",          "keep-alive", "proxy-authenticate",
@@ -100,13 +100,23 @@
   return body_framing{.Kind = framing_kind::Fixed, .Length = Length};
 }
 
+/// POCO parses the start line only: its parser of header fields decodes
+/// RFC 2047 words, which would let a value smuggle a line break in.
 template <typename Message> base::result<Message> parse(std::string_view Head) {
   BOOST_OUTCOME_TRY(checkHead(Head));
+  Head.remove_suffix(EmptyLine.size());
+  const std::vector<std::string_view> Lines = split(Head, "\r\n");
+  if (Lines.size() > MaxLines)
+    return bad("too many header lines");
   try {
-    std::istringstream Stream{std::string(Head)};
+    std::istringstream Stream(std::string(Lines.front()).append(EmptyLine));
     Message Parsed;
-    Parsed.setFieldLimit(MaxFields);
     Parsed.read(Stream);
+    for (std::size_t Index = 1; Index < Lines.size(); ++Index) {
+      const std::size_t Colon = Lines[Index].find(':');
+      Parsed.add(std::string(Lines[Index].substr(0, Colon)),
+                 std::string(trim(Lines[Index].substr(Colon + 1))));
+    }
     const std::string &Version = Parsed.getVersion();
     if (Version != HTTPMessage::HTTP_1_1 && Version != HTTPMessage::HTTP_1_0)
       return bad("unsupported HTTP version");
--- a/modules/proxy/internal/targetexchange.cpp
+++ b/modules/proxy/internal/targetexchange.cpp
@@ -6,6 +6,7 @@
 #include "text.h"
 
 #include <algorithm>
+#include <array>
 #include <locale>
 #include <sstream>
 #include <utility>
@@ -28,6 +29,13 @@
   return std::min(Load, 1.0);
 }
 
+std::string endName(routing::attempt_end End) {
+  constexpr std::array<const char *, 7> Names = {
+      "answered",  "not-connected", "refused",  "broken",
+      "timed-out", "truncated",     "cancelled"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
 } // namespace
 
 target_exchange::target_exchange(forwarder_parts &Collaborators,
@@ -36,7 +44,8 @@
                                  std::size_t MaxHeldBytes)
     : Parts(Collaborators), Request(Asked), Permit(std::move(Granted)),
       Id(std::move(AttemptId)), HeldBytes(MaxHeldBytes),
-      Started(currentInstant()) {}
+      Started(currentInstant()), StartedAt(std::chrono::system_clock::now()),
+      Trace(telemetry::startChild(Asked.Trace)) {}
 
 target_exchange::~target_exchange() { finish(routing::attempt_end::Cancelled); }
 
@@ -54,6 +63,7 @@
   Forwarded.erase("Expect");
   announceFraming(Forwarded, Request.Framing);
   Forwarded.set("Fulmar-Request-Id", Id);
+  Forwarded.set("traceparent", telemetry::formatTraceparent(Trace));
   Forwarded.set(
       "Fulmar-Deadline-Ms",
       std::to_string(std::max<std::int64_t>(
@@ -90,20 +100,22 @@
 }
 
 exchange_progress target_exchange::readHead() {
-  const auto Length = headLength(Connection->unread());
-  if (Length.value_or(Connection->unread().size()) > MaxHeadBytes)
-    return exchange_progress::Broken;
-  if (!Length)
-    return exchange_progress::Waiting;
-  auto Head = parseResponse(Connection->unread().substr(0, *Length));
-  Connection->consume(*Length);
-  if (!Head.has_value() ||
-      Head.value().getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
-    return exchange_progress::Broken;
-  if (Head.value().getStatus() < FirstFinalStatus)
-    return readHead();
-  Response = std::move(Head).value();
-  return acceptHead();
+  while (true) {
+    const auto Length = headLength(Connection->unread());
+    if (Length.value_or(Connection->unread().size()) > MaxHeadBytes)
+      return exchange_progress::Broken;
+    if (!Length)
+      return exchange_progress::Waiting;
+    const auto Head = parseResponse(Connection->unread().substr(0, *Length));
+    Connection->consume(*Length);
+    if (!Head.has_value() ||
+        Head.value().getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+      return exchange_progress::Broken;
+    if (Head.value().getStatus() < FirstFinalStatus)
+      continue;
+    Response = Head.value();
+    return acceptHead();
+  }
 }
 
 exchange_progress target_exchange::acceptHead() {
@@ -187,6 +199,23 @@
                    std::move(Connection));
   Connection.reset();
   Parts.Router.finish(Permit, Attempt, Request.Profile);
+  recordSpan(Attempt);
+}
+
+void target_exchange::recordSpan(const routing::attempt &Attempt) const {
+  if (Parts.Spans == nullptr)
+    return;
+  Parts.Spans->record(
+      {.Context = Trace,
+       .ParentSpanId = Request.Trace.SpanId,
+       .Name = "attempt",
+       .Start = StartedAt,
+       .End = std::chrono::system_clock::now(),
+       .Attributes = {{"target", Attempt.Target.str()},
+                      {"address", Permit.Target.Address},
+                      {"status", std::to_string(Attempt.Status)},
+                      {"end", endName(Attempt.End)}},
+       .Failed = Attempt.End != routing::attempt_end::Answered});
 }
 
 } // namespace fulmar::proxy
--- a/modules/proxy/internal/targetexchange.h
+++ b/modules/proxy/internal/targetexchange.h
@@ -79,6 +79,7 @@
   [[nodiscard]] bool refused() const;
   [[nodiscard]] bool inStep() const;
   void observe() const;
+  void recordSpan(const routing::attempt &Attempt) const;
 
   forwarder_parts &Parts;
   const forward_request &Request;
@@ -86,6 +87,8 @@
   const std::string Id;
   const std::size_t HeldBytes;
   const base::instant Started;
+  const std::chrono::system_clock::time_point StartedAt;
+  const telemetry::trace_context Trace;
   std::unique_ptr<connection> Connection;
   // Bytes that the connection had sent for earlier requests.
   std::uint64_t SentBefore = 0;
