--- /dev/null
+++ b/modules/routing/internal/router.cpp
@@ -0,0 +1,206 @@
+// Hands each event to the machine of its service.
+
+#include "fulmar/routing/router.h"
+
+#include "fulmar/routing/verdict.h"
+#include "internal/servicerouter.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace fulmar::routing {
+
+namespace {
+
+constexpr std::size_t CrashesToQuarantine = 2;
+constexpr std::size_t MaxCrashRecords = 1024;
+/// Until the control instances publish theirs.
+constexpr base::duration LocalQuarantineTime = std::chrono::seconds(60);
+
+template <typename Item>
+void append(std::vector<Item> &All, std::vector<Item> More) {
+  std::move(More.begin(), More.end(), std::back_inserter(All));
+}
+
+} // namespace
+
+router::router(router_options Options) : Random(Options.Seed) {}
+
+router::~router() = default;
+
+service_router *router::find(const base::service_name &Service) const {
+  const auto Found = Services.find(Service);
+  return Found == Services.end() ? nullptr : Found->second.get();
+}
+
+base::result<void> router::setPolicy(const base::service_name &Service,
+                                     const routing_policy &Policy) {
+  auto Strategy = makeStrategy(Policy.Strategy);
+  if (!Strategy)
+    return base::fail(base::error_kind::InvalidDocument,
+                      "unknown strategy " + Policy.Strategy);
+  std::unique_ptr<service_router> &Found = Services[Service];
+  if (!Found)
+    Found = std::make_unique<service_router>(Random, LastId);
+  Found->setPolicy(Policy, std::move(Strategy));
+  return base::success();
+}
+
+std::vector<ticket_answer>
+router::removeService(const base::service_name &Service) {
+  service_router *Found = find(Service);
+  if (Found == nullptr)
+    return {};
+  auto Answers = Found->refuse([](const waiter &) { return true; },
+                               base::error_kind::UnknownService);
+  Services.erase(Service);
+  return Answers;
+}
+
+std::vector<ticket_answer>
+router::candidatesChanged(const base::service_name &Service,
+                          const std::vector<candidate> &Candidates,
+                          base::instant Now) {
+  service_router *Found = find(Service);
+  if (Found == nullptr)
+    return {};
+  for (const candidate &Listed : Candidates)
+    Crashes.incarnationSeen(Listed.Target, Listed.Incarnation, Now);
+  auto Answers = confirmCrashes(Now);
+  append(Answers, Found->candidatesChanged(Candidates, Now));
+  return Answers;
+}
+
+acquire_result router::acquire(const request_profile &Request,
+                               std::span<const attempt> Earlier,
+                               base::instant Now) {
+  service_router *Found = find(Request.Service);
+  if (Found == nullptr)
+    return {.Answer = givenUpKind(Earlier, base::error_kind::UnknownService)};
+  if (Quarantine.remaining(Request.Fingerprint, Now))
+    return {.Answer = givenUpKind(Earlier, base::error_kind::Quarantined)};
+  return Found->acquire(Request, Earlier, Now);
+}
+
+std::vector<ticket_answer> router::finish(const permit &Permit,
+                                          const attempt &Outcome,
+                                          const request_profile &Request,
+                                          base::instant Now) {
+  service_router *Found = find(Request.Service);
+  observeCrashes(Permit, Outcome, Request.Fingerprint, Now);
+  auto Answers = confirmCrashes(Now);
+  if (Found != nullptr)
+    append(Answers, Found->finish(Permit, Outcome, Now));
+  return Answers;
+}
+
+void router::cancel(const base::service_name &Service, ticket_id Ticket) {
+  if (service_router *Found = find(Service))
+    Found->cancel(Ticket);
+}
+
+std::vector<ticket_answer> router::tick(base::instant Now) {
+  Quarantine.expire(Now);
+  std::vector<ticket_answer> Answers;
+  for (const auto &[Name, Service] : Services)
+    append(Answers, Service->tick(Now));
+  return Answers;
+}
+
+std::uint32_t router::demand(const base::service_name &Service) const {
+  const service_router *Found = find(Service);
+  return Found == nullptr ? 0 : Found->demand();
+}
+
+std::vector<target_in_flight>
+router::inFlight(const base::service_name &Service) const {
+  const service_router *Found = find(Service);
+  return Found == nullptr ? std::vector<target_in_flight>{} : Found->inFlight();
+}
+
+std::vector<target_preference>
+router::preferences(const base::service_name &Service) const {
+  const service_router *Found = find(Service);
+  return Found == nullptr ? std::vector<target_preference>{}
+                          : Found->preferences();
+}
+
+std::size_t router::waiting() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Service] : Services)
+    Count += Service->waiting();
+  return Count;
+}
+
+std::vector<observation> router::takeObservations() {
+  std::vector<observation> Observations;
+  for (const auto &[Name, Service] : Services)
+    append(Observations, Service->takeObservations());
+  return Observations;
+}
+
+std::vector<crash_report> router::takeCrashReports() {
+  return std::exchange(Reports, {});
+}
+
+void router::observeCrashes(const permit &Permit, const attempt &Outcome,
+                            std::uint64_t Fingerprint, base::instant Now) {
+  const base::target_id &Target = Permit.Target.Target;
+  if (!Outcome.Incarnation.empty())
+    Crashes.incarnationSeen(Target, Outcome.Incarnation, Now);
+  if (Outcome.End == attempt_end::NotConnected && !Outcome.BytesSent)
+    Crashes.unreachable(Target, Now);
+  if (Fingerprint == 0)
+    return;
+  if (Outcome.End == attempt_end::Answered && Outcome.Status < 500)
+    Crashes.answered(Target, Fingerprint, Now);
+  if (Outcome.End == attempt_end::Broken && Outcome.BytesSent)
+    Crashes.broken({.Fingerprint = Fingerprint,
+                    .Target = Target,
+                    .Incarnation = Permit.Target.Incarnation},
+                   Now);
+}
+
+std::vector<ticket_answer> router::confirmCrashes(base::instant Now) {
+  std::vector<ticket_answer> Answers;
+  for (crash_report &Report : Crashes.takeReports()) {
+    if (CrashedTargets.size() >= MaxCrashRecords)
+      CrashedTargets.clear();
+    auto &Targets = CrashedTargets[Report.Fingerprint];
+    Targets.insert(Report.Target);
+    if (Targets.size() >= CrashesToQuarantine) {
+      Quarantine.add(Report.Fingerprint, LocalQuarantineTime, Now);
+      append(Answers, refuseWaiters(Report.Fingerprint));
+    }
+    if (Reports.size() < MaxCrashRecords)
+      Reports.push_back(std::move(Report));
+  }
+  return Answers;
+}
+
+std::vector<ticket_answer> router::refuseWaiters(std::uint64_t Fingerprint) {
+  const auto Matches = [Fingerprint](const waiter &Waiter) {
+    return Waiter.Request.Fingerprint == Fingerprint;
+  };
+  std::vector<ticket_answer> Answers;
+  for (const auto &[Name, Service] : Services)
+    append(Answers, Service->refuse(Matches, base::error_kind::Quarantined));
+  return Answers;
+}
+
+std::vector<ticket_answer> router::quarantinePublished(
+    std::uint64_t Fingerprint, std::chrono::system_clock::time_point Until,
+    std::chrono::system_clock::time_point WallNow, base::instant Now) {
+  Quarantine.publish(Fingerprint, Until, WallNow, Now);
+  if (!Quarantine.remaining(Fingerprint, Now))
+    return {};
+  return refuseWaiters(Fingerprint);
+}
+
+void router::quarantineRemoved(std::uint64_t Fingerprint) {
+  Quarantine.withdraw(Fingerprint);
+  CrashedTargets.erase(Fingerprint);
+}
+
+} // namespace fulmar::routing
