Take verdicts, fingerprints and retry marks from routing

Cause: whether a request was run, and may be sent again, is decided in one place, which now exists. Ruled out: keeping the proxy's own reading of the attempts beside it. Conclusion: further attempts are marked, a level that used its retries says so, and a complete 502, 503 or 504 of an idempotent request is tried once more and stands when no further attempt is permitted.

--- a/modules/proxy/include/fulmar/proxy/answerwriter.h
+++ b/modules/proxy/include/fulmar/proxy/answerwriter.h
@@ -16,6 +16,8 @@
   /// The verdict on the attempts: no target ran the request. Claimed in the
   /// answer only when the table allows it as well.
   bool ProvedNotRun = false;
+  /// A target was reached; levels above should not try again.
+  bool RetriesUsed = false;
   /// Other entries that may serve the request, comma-separated IP:PORT.
   std::string Entries;
   /// Empty unless the caller's request is known.
--- a/modules/proxy/internal/answerwriter.cpp
+++ b/modules/proxy/internal/answerwriter.cpp
@@ -2,6 +2,8 @@
 
 #include "fulmar/proxy/answerwriter.h"
 
+#include "fulmar/routing/retrybudget.h"
+
 #include <json/writer.h>
 
 namespace fulmar::proxy {
@@ -40,6 +42,8 @@
   Response.set("Fulmar-Error", std::string(Answer.Name));
   if (mayClaimNotRun(Refusal))
     Response.set("Fulmar-Not-Run", "true");
+  if (Refusal.RetriesUsed)
+    Response.set(routing::FinalHeader, "true");
   if (Answer.RetryAfter)
     Response.set("Retry-After", std::to_string(Answer.RetryAfter->count()));
   if (Answer.RetryAfter && !Refusal.Entries.empty())
--- a/modules/proxy/internal/attemptrunner.cpp
+++ b/modules/proxy/internal/attemptrunner.cpp
@@ -2,6 +2,8 @@
 
 #include "attemptrunner.h"
 
+#include "fulmar/routing/verdict.h"
+
 #include <poll.h>
 
 #include <algorithm>
@@ -13,13 +15,17 @@
 
 using routing::attempt_end;
 
-bool mayCallNotRun(std::span<const routing::attempt> Attempts) {
-  return std::all_of(
-      Attempts.begin(), Attempts.end(), [](const routing::attempt &Attempt) {
-        return !Attempt.BytesSent || Attempt.End == attempt_end::Refused;
-      });
+namespace {
+
+bool isTransient(int Status) {
+  using Poco::Net::HTTPResponse;
+  return Status == HTTPResponse::HTTP_BAD_GATEWAY ||
+         Status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE ||
+         Status == HTTPResponse::HTTP_GATEWAY_TIMEOUT;
 }
 
+} // namespace
+
 attempt_runner::attempt_runner(const forwarder_options &Settings,
                                forwarder_parts &Collaborators,
                                forward_request &Asked, caller_exchange &From,
@@ -40,6 +46,14 @@
   return std::move(Outcome);
 }
 
+bool attempt_runner::provedNotRun() const {
+  return routing::provedNotRun(Attempts);
+}
+
+bool attempt_runner::retriesUsed() const {
+  return !routing::reachedNoTarget(Attempts);
+}
+
 base::duration attempt_runner::timeLeft() const {
   return std::max(Request.Profile.Deadline - currentInstant(),
                   base::duration(0));
@@ -47,7 +61,7 @@
 
 bool attempt_runner::maySendAgain() const {
   const bool BodyAtHand = Request.KeptBody || !Caller.body().begun();
-  return BodyAtHand && (Request.Profile.Idempotent || mayCallNotRun(Attempts));
+  return BodyAtHand && (Request.Profile.Idempotent || provedNotRun());
 }
 
 void attempt_runner::startAttempt(std::span<const routing::attempt> Earlier) {
@@ -61,8 +75,7 @@
   if (!Permit.has_value())
     return giveUp(Permit.error());
   auto Exchange = std::make_unique<target_exchange>(
-      Parts, Request, Permit.value(),
-      Request.Id + "." + std::to_string(++Started), Options.HeldAnswerBytes);
+      Parts, Request, Permit.value(), ++Started, Options.HeldAnswerBytes);
   if (Caller.caller().closedByPeer()) {
     Done = true;
     return;
@@ -174,8 +187,7 @@
   if (!Permit.has_value() || Before != 1)
     return;
   auto Exchange = std::make_unique<target_exchange>(
-      Parts, Request, Permit.value(),
-      Request.Id + "." + std::to_string(++Started), Options.HeldAnswerBytes);
+      Parts, Request, Permit.value(), ++Started, Options.HeldAnswerBytes);
   if (!connect(*Exchange))
     return fail(std::move(Exchange), attempt_end::NotConnected);
   dispatch(std::move(Exchange));
@@ -189,8 +201,9 @@
   Active.erase(Active.begin() + static_cast<std::ptrdiff_t>(Index));
   switch (Progress) {
   case exchange_progress::Whole:
+    return takeWhole(std::move(Exchange));
   case exchange_progress::Streaming:
-    Outcome.Streaming = Progress == exchange_progress::Streaming;
+    Outcome.Streaming = true;
     Outcome.Winner = std::move(Exchange);
     Done = true;
     return;
@@ -205,6 +218,19 @@
   fail(std::move(Exchange), attempt_end::Broken);
 }
 
+void attempt_runner::takeWhole(exchange Exchange) {
+  const bool MayImprove = isTransient(Exchange->response().getStatus()) &&
+                          Request.Profile.Idempotent && Request.KeptBody;
+  if (!MayImprove || Fallback) {
+    Outcome.Winner = std::move(Exchange);
+    Done = true;
+    return;
+  }
+  Attempts.push_back(Exchange->record(attempt_end::Answered));
+  Exchange->finish(attempt_end::Answered);
+  Fallback = std::move(Exchange);
+}
+
 void attempt_runner::fail(exchange Exchange, attempt_end End) {
   Attempts.push_back(Exchange->record(End));
   Exchange->finish(End);
@@ -218,30 +244,21 @@
 }
 
 void attempt_runner::giveUp(const base::error &Reason) {
-  Outcome.Error = finalError(Reason);
+  if (Fallback)
+    Outcome.Winner = std::move(Fallback);
+  else
+    Outcome.Error = finalError(Reason);
   Done = true;
 }
 
 base::error attempt_runner::finalError(const base::error &Refusal) const {
-  using base::error_kind;
-  if (Attempts.empty() || Refusal.Kind == error_kind::Quarantined)
+  if (Refusal.Kind == base::error_kind::Quarantined)
     return Refusal;
-  if (mayCallNotRun(Attempts)) {
-    const bool Fits =
-        base::answerOf(Refusal.Kind).Execution == base::execution::NotRun;
-    return Fits ? Refusal
-                : base::error{error_kind::NoTarget, "no target took it"};
-  }
-  // The last attempt that may have run the request tells what is known of it.
-  const auto Last = std::find_if(
-      Attempts.rbegin(), Attempts.rend(), [](const routing::attempt &Attempt) {
-        return Attempt.BytesSent && Attempt.End != attempt_end::Refused;
-      });
-  if (Last->End == attempt_end::TimedOut)
-    return {error_kind::TargetTimeout, "no answer in time"};
-  if (Last->End == attempt_end::Truncated)
-    return {error_kind::TruncatedAnswer, "the answer ended early"};
-  return {error_kind::OutcomeUnknown, "the connection to the target broke"};
+  const base::error_kind Kind = routing::givenUpKind(Attempts, Refusal.Kind);
+  if (Kind == Refusal.Kind)
+    return Refusal;
+  return {Kind, "gave up after " + std::to_string(Attempts.size()) +
+                    " attempts: " + Refusal.Message};
 }
 
 } // namespace fulmar::proxy
--- a/modules/proxy/internal/attemptrunner.h
+++ b/modules/proxy/internal/attemptrunner.h
@@ -17,9 +17,6 @@
 
 namespace fulmar::proxy {
 
-/// True when the recorded attempts prove that no target ran the request.
-bool mayCallNotRun(std::span<const routing::attempt> Attempts);
-
 /// How the attempts at a request ended: with an answer, an error, or neither
 /// when the caller has gone.
 struct run_outcome {
@@ -37,7 +34,9 @@
 
   run_outcome run();
   /// True when no target ran the request, as far as run() got.
-  [[nodiscard]] bool provedNotRun() const { return mayCallNotRun(Attempts); }
+  [[nodiscard]] bool provedNotRun() const;
+  /// True when a target was reached, so that no level above should try again.
+  [[nodiscard]] bool retriesUsed() const;
 
 private:
   using exchange = std::unique_ptr<target_exchange>;
@@ -51,6 +50,7 @@
   /// Waits for the active attempts; sets Outcome when one of them answered.
   void awaitAnswers();
   void takeAnswer(std::size_t Index);
+  void takeWhole(exchange Exchange);
   void fail(exchange Exchange, routing::attempt_end End);
   void failAllAtDeadline();
   void giveUp(const base::error &Reason);
@@ -66,6 +66,9 @@
   std::vector<routing::attempt> Attempts;
   // One, or two while a hedge is under way.
   std::vector<exchange> Active;
+  // A complete answer 502, 503 or 504, delivered unless a further attempt
+  // brings a better one.
+  exchange Fallback;
   std::optional<base::instant> HedgeAt;
   std::size_t Started = 0;
   bool Done = false;
--- a/modules/proxy/internal/forwarder.cpp
+++ b/modules/proxy/internal/forwarder.cpp
@@ -4,9 +4,10 @@
 
 #include "attemptrunner.h"
 #include "bodytransfer.h"
-#include "fulmar/base/rendezvous.h"
+
 #include "fulmar/proxy/answerwriter.h"
 #include "fulmar/proxy/messagehead.h"
+#include "fulmar/routing/fingerprint.h"
 #include "requestprofile.h"
 #include "text.h"
 
@@ -64,7 +65,8 @@
   void deliverWhole(target_exchange &Winner, HTTPResponse &Response);
   void deliverStream(target_exchange &Winner, HTTPResponse &Response);
   HTTPResponse answerHead(const HTTPResponse &From) const;
-  void refuse(const base::error &Error, bool ProvedNotRun);
+  void refuse(const base::error &Error, bool ProvedNotRun,
+              bool RetriesUsed = false);
 
   const forwarder_options &Options;
   forwarder_parts &Parts;
@@ -137,9 +139,10 @@
   Request.Profile.Replayable = Request.KeptBody.has_value();
   Request.ContentDigest =
       contentDigest(Request.Head, Request.Framing, Request.KeptBody);
-  Request.Profile.Fingerprint = Profile.IdempotencyKey
-                                    ? base::digest(*Profile.IdempotencyKey)
-                                    : Request.ContentDigest;
+  Request.Profile.Fingerprint =
+      Profile.IdempotencyKey
+          ? routing::fingerprintOfKey(Service.str(), *Profile.IdempotencyKey)
+          : Request.ContentDigest;
   return base::success();
 }
 
@@ -169,7 +172,7 @@
     return deliver(*Outcome.Winner, Outcome.Streaming);
   settleWithout(Runner);
   if (Outcome.Error)
-    return refuse(*Outcome.Error, Runner.provedNotRun());
+    return refuse(*Outcome.Error, Runner.provedNotRun(), Runner.retriesUsed());
   Result = "caller-gone";
   Caller.breakOff();
 }
@@ -288,11 +291,14 @@
   settle(claims::claim_end::Unknown);
 }
 
-void forwarding::refuse(const base::error &Error, bool ProvedNotRun) {
+void forwarding::refuse(const base::error &Error, bool ProvedNotRun,
+                        bool RetriesUsed) {
   Result = base::answerOf(Error.Kind).Name;
   sendRefusal(Caller, {.Error = Error,
                        .ProvedNotRun = ProvedNotRun,
-                       .Entries = Parts.OtherEntries(),
+                       .RetriesUsed = RetriesUsed,
+                       .Entries = Parts.OtherEntries ? Parts.OtherEntries()
+                                                     : std::string(),
                        .RequestId = AnswerId});
 }
 
--- a/modules/proxy/internal/requestprofile.cpp
+++ b/modules/proxy/internal/requestprofile.cpp
@@ -2,7 +2,8 @@
 
 #include "requestprofile.h"
 
-#include "fulmar/base/rendezvous.h"
+#include "fulmar/routing/fingerprint.h"
+#include "fulmar/routing/retrybudget.h"
 #include "text.h"
 
 #include <algorithm>
@@ -91,23 +92,23 @@
   const bool SafeMethod =
       std::find(IdempotentMethods.begin(), IdempotentMethods.end(),
                 Request.getMethod()) != IdempotentMethods.end();
-  return routing::request_profile{.Service = Service,
-                                  .Idempotent =
-                                      Policy.AllIdempotent || SafeMethod,
-                                  .IdempotencyKey = Key,
-                                  .Deadline = Now + Left,
-                                  .Priority = Priority};
+  return routing::request_profile{
+      .Service = Service,
+      .Idempotent = Policy.AllIdempotent || SafeMethod,
+      .IdempotencyKey = Key,
+      .Deadline = Now + Left,
+      .Priority = Priority,
+      .RetryOfCaller = Request.has(routing::RetryHeader)};
 }
 
 std::uint64_t contentDigest(const HTTPRequest &Request,
                             const body_framing &Framing,
                             const std::optional<std::string> &KeptBody) {
-  std::uint64_t Digest = base::digest(Request.getMethod());
-  Digest = base::digest(Request.getURI(), Digest);
-  if (KeptBody)
-    return base::digest(*KeptBody, Digest);
-  Digest = base::digest(std::to_string(Framing.Length), Digest);
-  return base::digest(Request.get("Content-Digest", ""), Digest);
+  const std::string Body =
+      KeptBody.value_or(std::to_string(Framing.Length) + "\n" +
+                        Request.get("Content-Digest", ""));
+  return routing::fingerprintOfContent(Request.getMethod(), Request.getURI(),
+                                       Body);
 }
 
 } // namespace fulmar::proxy
--- a/modules/proxy/internal/requestprofile.h
+++ b/modules/proxy/internal/requestprofile.h
@@ -28,8 +28,8 @@
               const base::service_name &Service, const service_policy &Policy,
               base::instant Now);
 
-/// Digest of what the request asks for. A body that is not kept is
-/// represented by its framing and by the Content-Digest header.
+/// Digest of method, path and body. A body that is not kept is represented by
+/// its length and by the Content-Digest header.
 std::uint64_t contentDigest(const Poco::Net::HTTPRequest &Request,
                             const body_framing &Framing,
                             const std::optional<std::string> &KeptBody);
--- a/modules/proxy/internal/targetexchange.cpp
+++ b/modules/proxy/internal/targetexchange.cpp
@@ -3,6 +3,7 @@
 #include "targetexchange.h"
 
 #include "fulmar/proxy/messagehead.h"
+#include "fulmar/routing/retrybudget.h"
 #include "text.h"
 
 #include <algorithm>
@@ -40,11 +41,13 @@
 
 target_exchange::target_exchange(forwarder_parts &Collaborators,
                                  const forward_request &Asked,
-                                 routing::permit Granted, std::string AttemptId,
+                                 routing::permit Granted,
+                                 std::size_t AttemptNumber,
                                  std::size_t MaxHeldBytes)
     : Parts(Collaborators), Request(Asked), Permit(std::move(Granted)),
-      Id(std::move(AttemptId)), HeldBytes(MaxHeldBytes),
-      Started(currentInstant()), StartedAt(std::chrono::system_clock::now()),
+      Number(AttemptNumber), Id(Asked.Id + "." + std::to_string(Number)),
+      HeldBytes(MaxHeldBytes), Started(currentInstant()),
+      StartedAt(std::chrono::system_clock::now()),
       Trace(telemetry::startChild(Asked.Trace)) {}
 
 target_exchange::~target_exchange() { finish(routing::attempt_end::Cancelled); }
@@ -62,6 +65,8 @@
     Forwarded.set(HTTPRequest::HOST, Permit.Target.Address);
   Forwarded.erase("Expect");
   announceFraming(Forwarded, Request.Framing);
+  if (Number > 1)
+    Forwarded.set(routing::RetryHeader, "1");
   Forwarded.set("Fulmar-Request-Id", Id);
   Forwarded.set("traceparent", telemetry::formatTraceparent(Trace));
   Forwarded.set(
@@ -186,7 +191,8 @@
           .BytesSent = Connection && Connection->bytesSent() > SentBefore,
           .End = End,
           .Status = Response ? Response->getStatus() : 0,
-          .Elapsed = currentInstant() - Started};
+          .Elapsed = currentInstant() - Started,
+          .FinalBelow = Response && Response->has(routing::FinalHeader)};
 }
 
 void target_exchange::finish(routing::attempt_end End) {
--- a/modules/proxy/internal/targetexchange.h
+++ b/modules/proxy/internal/targetexchange.h
@@ -39,7 +39,7 @@
 class target_exchange {
 public:
   target_exchange(forwarder_parts &Collaborators, const forward_request &Asked,
-                  routing::permit Granted, std::string AttemptId,
+                  routing::permit Granted, std::size_t Number,
                   std::size_t MaxHeldBytes);
   ~target_exchange();
   target_exchange(const target_exchange &) = delete;
@@ -84,6 +84,8 @@
   forwarder_parts &Parts;
   const forward_request &Request;
   const routing::permit Permit;
+  // 1 for the request's first attempt.
+  const std::size_t Number;
   const std::string Id;
   const std::size_t HeldBytes;
   const base::instant Started;
