--- a/modules/proxy/internal/targetexchange.h
+++ b/modules/proxy/internal/targetexchange.h
@@ -39,7 +39,7 @@
 class target_exchange {
 public:
   target_exchange(forwarder_parts &Collaborators, const forward_request &Asked,
-                  routing::permit Granted, std::string AttemptId,
+                  routing::permit Granted, std::size_t Number,
                   std::size_t MaxHeldBytes);
   ~target_exchange();
   target_exchange(const target_exchange &) = delete;
@@ -79,13 +79,18 @@
   [[nodiscard]] bool refused() const;
   [[nodiscard]] bool inStep() const;
   void observe() const;
+  void recordSpan(const routing::attempt &Attempt) const;
 
   forwarder_parts &Parts;
   const forward_request &Request;
   const routing::permit Permit;
+  // 1 for the request's first attempt.
+  const std::size_t Number;
   const std::string Id;
   const std::size_t HeldBytes;
   const base::instant Started;
+  const std::chrono::system_clock::time_point StartedAt;
+  const telemetry::trace_context Trace;
   std::unique_ptr<connection> Connection;
   // Bytes that the connection had sent for earlier requests.
   std::uint64_t SentBefore = 0;
