--- a/modules/consensus/include/fulmar/consensus/replica.h
+++ b/modules/consensus/include/fulmar/consensus/replica.h
@@ -158,6 +158,7 @@
   void sendSnapshotChunk(const replica_id &To, peer &Peer, base::instant Now);
   void sendAllAppends(base::instant Now);
   void sendHeartbeats(base::instant Now);
+  static void noteSuccess(peer &Peer);
   void retryStalled(base::instant Now);
   void advanceCommit(base::instant Now);
   void installSnapshot(const snapshot_request &Body);
@@ -170,7 +171,7 @@
   void continueTransfer(base::instant Now);
 
   // Membership and formation of a new cluster.
-  base::result<log_index> changeMembers(configuration Members,
+  base::result<log_index> changeMembers(const configuration &Members,
                                         base::instant Now);
   base::result<void> checkLeader() const;
   void maintainMembers(base::instant Now);
--- /dev/null
+++ b/modules/directory/tests/shares_tests.cpp
@@ -0,0 +1,192 @@
+// Promises of ownership and shares, kept by several entries over a network
+// that loses, delays, reorders and repeats messages, while processes freeze,
+// restart and are cut off.
+
+#include "fakecluster.h"
+
+#include "fulmar/testing/property.h"
+
+#include <numeric>
+
+using namespace fulmar::directory;
+using fulmar::base::instant;
+using std::chrono::seconds;
+
+namespace {
+
+/// Something happens to an entry or a target.
+using disturbance = std::function<void(fake_cluster &)>;
+
+void freezeEntry(fake_cluster &Cluster) {
+  fake_entry &Entry = *Cluster.Entries[Cluster.below(Cluster.Options.Entries)];
+  Entry.FrozenUntil = Cluster.now() + milliseconds(Cluster.below(8000));
+}
+
+void cutEntry(fake_cluster &Cluster) {
+  fake_entry &Entry = *Cluster.Entries[Cluster.below(Cluster.Options.Entries)];
+  Entry.CutUntil = Cluster.now() + milliseconds(Cluster.below(12000));
+}
+
+void restartEntry(fake_cluster &Cluster) {
+  Cluster.restartEntry(Cluster.below(Cluster.Options.Entries));
+}
+
+void changeMember(fake_cluster &Cluster) {
+  Cluster.setMember(Cluster.below(Cluster.Options.Entries),
+                    Cluster.percent() < 60);
+}
+
+void restartTarget(fake_cluster &Cluster) {
+  Cluster.restartTarget(Cluster.below(Cluster.Options.Targets));
+}
+
+void warmTarget(fake_cluster &Cluster) {
+  Cluster.setState(Cluster.below(Cluster.Options.Targets), target_state::Warm);
+}
+
+const std::vector<disturbance> Disturbances = {freezeEntry,   cutEntry,
+                                               restartEntry,  changeMember,
+                                               restartTarget, warmTarget};
+
+void disturb(fake_cluster &Cluster) {
+  const auto Count = static_cast<int>(Disturbances.size());
+  Disturbances[Cluster.below(Count)](Cluster);
+}
+
+/// Runs \p Scenario with each of \p Count seeds.
+void forSeeds(int Count, const std::function<void(std::uint64_t)> &Scenario) {
+  for (int Seed = 1; Seed <= Count; ++Seed)
+    Scenario(static_cast<std::uint64_t>(Seed));
+}
+
+void checkHolds(const fake_cluster &Cluster) {
+  const std::string Text =
+      "seed " + std::to_string(Cluster.Options.Seed) + ": " + Cluster.Fault;
+  CHECK_TEXT(Cluster.Fault.empty(), Text.c_str());
+}
+
+/// In no window do probes take more than its budget and that of one second.
+void checkProbes(const fake_cluster &Cluster) {
+  const std::int64_t PerSecond =
+      Cluster.Options.Policy.ProbeBudgetPerSecond.count();
+  for (const fake_target &Target : Cluster.Targets) {
+    for (auto First = Target.Probes.begin(); First != Target.Probes.end();
+         ++First) {
+      std::int64_t Spent = 0;
+      for (auto Last = First; Last != Target.Probes.end(); ++Last) {
+        Spent += Last->second.count();
+        const std::int64_t Window = (Last->first - First->first).count();
+        CHECK(Spent <= PerSecond + PerSecond * Window / 1000000);
+      }
+    }
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Shares){};
+
+TEST(Shares, aQuietClusterServes) {
+  fake_cluster Cluster({.Seed = 7, .Loss = 0, .Repeat = 0});
+  Cluster.run(seconds(8));
+  for (int Index = 0; Index < Cluster.Options.Targets; ++Index)
+    Cluster.setState(Index, target_state::Warm);
+  Cluster.run(seconds(10));
+  CHECK_TEXT(Cluster.Fault.empty(), Cluster.Fault.c_str());
+  CHECK(Cluster.Arrivals > 100);
+  for (const auto &Entry : Cluster.Entries)
+    CHECK(Entry->Served > 5);
+}
+
+TEST(Shares, oneOwnerActsAndNoTargetIsOverloaded) {
+  forSeeds(12, [](std::uint64_t Seed) {
+    fake_cluster Cluster({.Seed = Seed});
+    for (int Round = 0; Round < 12 && Cluster.Fault.empty(); ++Round) {
+      Cluster.run(milliseconds(Cluster.below(5000)));
+      disturb(Cluster);
+    }
+    checkHolds(Cluster);
+    checkProbes(Cluster);
+  });
+}
+
+// Bound: once the acting owner knows of the turn, work under grants for the
+// former incarnation ends within grant_ms, and nothing more arrives while the
+// target has as much in flight as it bears.
+TEST(Shares, aSilentTurnUnderFullLoadIsBounded) {
+  forSeeds(3, [](std::uint64_t Seed) {
+    fake_cluster Cluster({.Seed = Seed, .Targets = 1, .Slots = 16});
+    Cluster.setState(0, target_state::Warm);
+    Cluster.run(seconds(12));
+    for (int Turn = 0; Turn < 4; ++Turn) {
+      Cluster.restartTarget(0);
+      Cluster.run(seconds(4));
+      warmTarget(Cluster);
+      Cluster.run(seconds(5));
+    }
+    checkHolds(Cluster);
+    CHECK(Cluster.Arrivals > 100);
+  });
+}
+
+TEST(Shares, twentyEntriesShareOneColdTargetAcrossFailovers) {
+  forSeeds(1, [](std::uint64_t Seed) {
+    fake_cluster Cluster({.Seed = Seed, .Entries = 20, .Targets = 1});
+    Cluster.run(seconds(8));
+    for (int Failover = 0; Failover < 1; ++Failover) {
+      const auto &View = Cluster.Entries[1]->Ownership->view();
+      const announcement &Said = Cluster.Targets[0].Said;
+      const auto Owner =
+          Cluster.Entries[1]->Ownership->ownerOf(Said.Id, Said.DataCentre);
+      CHECK(View.find(*Owner) != nullptr);
+      const int Lost = std::stoi(Owner->str().substr(1));
+      Cluster.Entries[Lost]->FrozenUntil = Cluster.now() + seconds(6);
+      Cluster.setMember(Lost, false);
+      Cluster.run(seconds(10));
+      Cluster.setMember(Lost, true);
+    }
+    Cluster.run(seconds(40));
+    checkHolds(Cluster);
+    checkProbes(Cluster);
+    for (const auto &Entry : Cluster.Entries)
+      CHECK_TEXT(Entry->Served > 0, Entry->Id.str().c_str());
+  });
+}
+
+// Bound: announcement lease, the way of the last announcement, and grant_ms.
+TEST(Shares, aSilentOrUnheardDrainingTargetReceivesNoNewWork) {
+  forSeeds(3, [](std::uint64_t Seed) {
+    fake_cluster Cluster({.Seed = Seed});
+    for (int Index = 0; Index < Cluster.Options.Targets; ++Index)
+      warmTarget(Cluster);
+    Cluster.run(seconds(10));
+    for (fake_target &Target : Cluster.Targets)
+      Target.Alive = false;
+    cutEntry(Cluster);
+    freezeEntry(Cluster);
+    const auto Bound =
+        Cluster.now() + seconds(4) + 2 * Cluster.Options.MaxDelay;
+    Cluster.run(seconds(12));
+    for (const fake_target &Target : Cluster.Targets)
+      CHECK(Target.LastArrival > instant{} && Target.LastArrival <= Bound);
+  });
+}
+
+// Bound: permission_ms after the change was committed.
+TEST(Shares, aDataCentreOutOfServiceReceivesNoNewWork) {
+  forSeeds(3, [](std::uint64_t Seed) {
+    fake_cluster Cluster({.Seed = Seed});
+    Cluster.run(seconds(10));
+    cutEntry(Cluster);
+    freezeEntry(Cluster);
+    Cluster.setDataCentre("dc0", false);
+    const auto Bound = Cluster.now() + Cluster.Options.Permission.Permission;
+    Cluster.run(seconds(15));
+    CHECK(Cluster.Targets[0].LastArrival <= Bound);
+    CHECK(Cluster.Targets[1].LastArrival > Bound);
+    Cluster.setDataCentre("dc0", true);
+    Cluster.run(seconds(10));
+    CHECK(Cluster.Targets[0].LastArrival > Bound);
+    checkHolds(Cluster);
+  });
+}
--- a/modules/proxy/internal/targetexchange.cpp
+++ b/modules/proxy/internal/targetexchange.cpp
@@ -3,9 +3,11 @@
 #include "targetexchange.h"
 
 #include "fulmar/proxy/messagehead.h"
+#include "fulmar/routing/retrybudget.h"
 #include "text.h"
 
 #include <algorithm>
+#include <array>
 #include <locale>
 #include <sstream>
 #include <utility>
@@ -28,15 +30,25 @@
   return std::min(Load, 1.0);
 }
 
+std::string endName(routing::attempt_end End) {
+  constexpr std::array<const char *, 7> Names = {
+      "answered",  "not-connected", "refused",  "broken",
+      "timed-out", "truncated",     "cancelled"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
 } // namespace
 
 target_exchange::target_exchange(forwarder_parts &Collaborators,
                                  const forward_request &Asked,
-                                 routing::permit Granted, std::string AttemptId,
+                                 routing::permit Granted,
+                                 std::size_t AttemptNumber,
                                  std::size_t MaxHeldBytes)
     : Parts(Collaborators), Request(Asked), Permit(std::move(Granted)),
-      Id(std::move(AttemptId)), HeldBytes(MaxHeldBytes),
-      Started(currentInstant()) {}
+      Number(AttemptNumber), Id(Asked.Id + "." + std::to_string(Number)),
+      HeldBytes(MaxHeldBytes), Started(currentInstant()),
+      StartedAt(std::chrono::system_clock::now()),
+      Trace(telemetry::startChild(Asked.Trace)) {}
 
 target_exchange::~target_exchange() { finish(routing::attempt_end::Cancelled); }
 
@@ -53,7 +65,10 @@
     Forwarded.set(HTTPRequest::HOST, Permit.Target.Address);
   Forwarded.erase("Expect");
   announceFraming(Forwarded, Request.Framing);
+  if (Number > 1)
+    Forwarded.set(routing::RetryHeader, "1");
   Forwarded.set("Fulmar-Request-Id", Id);
+  Forwarded.set("traceparent", telemetry::formatTraceparent(Trace));
   Forwarded.set(
       "Fulmar-Deadline-Ms",
       std::to_string(std::max<std::int64_t>(
@@ -90,20 +105,22 @@
 }
 
 exchange_progress target_exchange::readHead() {
-  const auto Length = headLength(Connection->unread());
-  if (Length.value_or(Connection->unread().size()) > MaxHeadBytes)
-    return exchange_progress::Broken;
-  if (!Length)
-    return exchange_progress::Waiting;
-  auto Head = parseResponse(Connection->unread().substr(0, *Length));
-  Connection->consume(*Length);
-  if (!Head.has_value() ||
-      Head.value().getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
-    return exchange_progress::Broken;
-  if (Head.value().getStatus() < FirstFinalStatus)
-    return readHead();
-  Response = std::move(Head).value();
-  return acceptHead();
+  while (true) {
+    const auto Length = headLength(Connection->unread());
+    if (Length.value_or(Connection->unread().size()) > MaxHeadBytes)
+      return exchange_progress::Broken;
+    if (!Length)
+      return exchange_progress::Waiting;
+    const auto Head = parseResponse(Connection->unread().substr(0, *Length));
+    Connection->consume(*Length);
+    if (!Head.has_value() ||
+        Head.value().getStatus() == HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
+      return exchange_progress::Broken;
+    if (Head.value().getStatus() < FirstFinalStatus)
+      continue;
+    Response = Head.value();
+    return acceptHead();
+  }
 }
 
 exchange_progress target_exchange::acceptHead() {
@@ -158,7 +175,8 @@
 }
 
 void target_exchange::observe() const {
-  target_observation Observation{.Target = Permit.Target.Target};
+  target_observation Observation{.Target = Permit.Target.Target,
+                                 .Believed = Permit.Target.Incarnation};
   if (Response->has("Fulmar-Incarnation"))
     Observation.Incarnation = Response->get("Fulmar-Incarnation");
   if (Response->has("Fulmar-Load"))
@@ -173,7 +191,8 @@
           .BytesSent = Connection && Connection->bytesSent() > SentBefore,
           .End = End,
           .Status = Response ? Response->getStatus() : 0,
-          .Elapsed = currentInstant() - Started};
+          .Elapsed = currentInstant() - Started,
+          .FinalBelow = Response && Response->has(routing::FinalHeader)};
 }
 
 void target_exchange::finish(routing::attempt_end End) {
@@ -187,6 +206,23 @@
                    std::move(Connection));
   Connection.reset();
   Parts.Router.finish(Permit, Attempt, Request.Profile);
+  recordSpan(Attempt);
+}
+
+void target_exchange::recordSpan(const routing::attempt &Attempt) const {
+  if (Parts.Spans == nullptr)
+    return;
+  Parts.Spans->record(
+      {.Context = Trace,
+       .ParentSpanId = Request.Trace.SpanId,
+       .Name = "attempt",
+       .Start = StartedAt,
+       .End = std::chrono::system_clock::now(),
+       .Attributes = {{"target", Attempt.Target.str()},
+                      {"address", Permit.Target.Address},
+                      {"status", std::to_string(Attempt.Status)},
+                      {"end", endName(Attempt.End)}},
+       .Failed = Attempt.End != routing::attempt_end::Answered});
 }
 
 } // namespace fulmar::proxy
