List the document's keys and say what a repeated operation means

Cause: on real processes a late leave after a return printed that the data centre is out, which was its first answer and not the state. Ruled out: another answer for repeats (the first answer is promised). Also: fulmarctl keys prints the schema. Conclusion: the text says that nothing was changed now.

--- a/programs/ctl/internal/commandtable.cpp
+++ b/programs/ctl/internal/commandtable.cpp
@@ -12,6 +12,9 @@
 constexpr std::array Commands = {
     command_entry{"check", "FILE", "check a whole document; lists every fault",
                   1, 1, false, runCheck},
+    command_entry{"keys", "[service.*|policy.*|policy.control|...]",
+                  "list the keys of sections with defaults and ranges", 0, 1,
+                  false, runKeys},
     command_entry{"hash-token", "", "hash the token of --token_file", 0, 0,
                   false, runHashToken},
     command_entry{"edit", "SECTION FILE [--number=N]",
--- a/programs/ctl/internal/commandtable.h
+++ b/programs/ctl/internal/commandtable.h
@@ -32,6 +32,7 @@
 
 // One group of subcommands a source file.
 exit_code runCheck(invocation &Call);
+exit_code runKeys(invocation &Call);
 exit_code runHashToken(invocation &Call);
 exit_code runEdit(invocation &Call);
 exit_code runRemove(invocation &Call);
--- a/programs/ctl/internal/datacentrecommands.cpp
+++ b/programs/ctl/internal/datacentrecommands.cpp
@@ -75,12 +75,15 @@
     Value["seconds"] = Seconds;
     printJson(Call, Value);
   } else {
-    Call.Out << "data centre " << Operation.Name << " is "
-             << Set["state"].asString()
-             << (Set["repeated"].asBool() ? " by the first answer to this "
-                                            "operation"
-                                          : "")
-             << ": in force on " << countOf(Force["confirmed"])
+    const std::string State = Set["state"].asString();
+    if (Set["repeated"].asBool())
+      Call.Out << "this operation was carried out before and set "
+               << Operation.Name << " to " << State
+               << "; nothing was changed now, and a later operation may have "
+                  "changed it since. The first answer";
+    else
+      Call.Out << "data centre " << Operation.Name << " is " << State;
+    Call.Out << ": in force on " << countOf(Force["confirmed"])
              << " instances, " << countOf(Force["expired"])
              << " leases ran out, after " << std::fixed << std::setprecision(2)
              << Seconds << " s\n";
