--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -116,7 +116,8 @@
   /// Fails with InvalidDocument for an unknown strategy.
   base::result<void> setPolicy(const base::service_name &Service,
                                const routing_policy &Policy);
-  /// Refuses the service's waiters with UnknownService.
+  /// Refuses the service's waiters with UnknownService. Its requests in flight
+  /// are counted until they end.
   std::vector<ticket_answer> removeService(const base::service_name &Service);
 
   /// All targets of \p Service that may be used now.
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -50,12 +50,7 @@
 std::vector<ticket_answer>
 router::removeService(const base::service_name &Service) {
   service_router *Found = find(Service);
-  if (Found == nullptr)
-    return {};
-  auto Answers = Found->refuse([](const waiter &) { return true; },
-                               base::error_kind::UnknownService);
-  Services.erase(Service);
-  return Answers;
+  return Found == nullptr ? std::vector<ticket_answer>{} : Found->remove();
 }
 
 std::vector<ticket_answer>
@@ -76,7 +71,7 @@
                                std::span<const attempt> Earlier,
                                base::instant Now) {
   service_router *Found = find(Request.Service);
-  if (Found == nullptr)
+  if (Found == nullptr || Found->removed())
     return {.Answer = givenUpKind(Earlier, base::error_kind::UnknownService)};
   if (Quarantine.remaining(Request.Fingerprint, Now))
     return {.Answer = givenUpKind(Earlier, base::error_kind::Quarantined)};
@@ -102,6 +97,9 @@
 
 std::vector<ticket_answer> router::tick(base::instant Now) {
   Quarantine.expire(Now);
+  std::erase_if(Services, [](const auto &Entry) {
+    return Entry.second->removed() && Entry.second->demand() == 0;
+  });
   std::vector<ticket_answer> Answers;
   for (const auto &[Name, Service] : Services)
     append(Answers, Service->tick(Now));
--- a/modules/routing/internal/servicepicking.cpp
+++ b/modules/routing/internal/servicepicking.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t AllTiers = std::numeric_limits<std::size_t>::max();
 /// Share below which a target in probation gets one request at a time.
 constexpr double SingleRequestShare = 0.5;
+/// At the start of a probation only idempotent requests are risked.
+constexpr base::duration SafeTrialTime = std::chrono::seconds(5);
 /// A request in flight that is this many medians old raises the estimate.
 constexpr double AgeInMedians = 3;
 constexpr double MaxAgeSlowness = 4;
@@ -30,9 +32,9 @@
                                                base::instant Now) {
   const std::size_t MaxTier =
       Strategy->selective() ? farthestTier(Now) : AllTiers;
-  collect(Waiter.Earlier, MaxTier, Now);
+  collect(Waiter, MaxTier, Now);
   if (Views.empty() && MaxTier != AllTiers)
-    collect(Waiter.Earlier, AllTiers, Now);
+    collect(Waiter, AllTiers, Now);
   if (Views.empty())
     return std::nullopt;
   const std::size_t Picked = Strategy->pick(Views, Random);
@@ -88,33 +90,41 @@
                      });
 }
 
-bool service_router::takesPart(const target_state &Target, std::size_t MaxTier,
-                               bool OnlyEjected) {
-  if (!Strategy->selective() || OnlyEjected)
-    return true;
-  if (Target.Tier > MaxTier || Target.Health == nullptr)
+bool service_router::usable(const target_state &Target,
+                            base::instant Now) const {
+  if (Target.limit(Now) == 0)
     return false;
+  return !Strategy->selective() ||
+         (Target.Health != nullptr && Target.Health->Share > 0);
+}
+
+bool service_router::takesPart(const target_state &Target,
+                               const request_profile &Request,
+                               base::instant Now) {
   const double Share = Target.Health->Share;
   if (Share >= 1)
     return true;
   if (Share <= 0 || (Share < SingleRequestShare && Target.inFlight() > 0))
     return false;
+  if (!Request.Idempotent && Now - Target.Health->Since < SafeTrialTime)
+    return false;
   return absl::Uniform(Random, 0.0, 1.0) < Share;
 }
 
-void service_router::collect(std::span<const attempt> Earlier,
-                             std::size_t MaxTier, base::instant Now) {
+void service_router::collect(const waiter &Waiter, std::size_t MaxTier,
+                             base::instant Now) {
   Views.clear();
-  const bool OnlyEjected = !anyActive(Now);
+  const bool Judged = Strategy->selective() && anyActive(Now);
   for (std::size_t Index = 0; Index < Targets.size(); ++Index) {
     const target_state &Target = Targets[Index];
-    if (Target.inFlight() >= Target.limit(Now))
+    if (Target.inFlight() >= Target.limit(Now) || Target.Tier > MaxTier)
       continue;
-    if (takesPart(Target, MaxTier, OnlyEjected))
+    if (!Judged ||
+        (Target.Health != nullptr && takesPart(Target, Waiter.Request, Now)))
       Views.push_back(viewOf(Index, Now));
   }
-  if (!Earlier.empty())
-    dropTried(Earlier, Now);
+  if (!Waiter.Earlier.empty())
+    dropTried(Waiter.Earlier, Now);
 }
 
 target_view service_router::viewOf(std::size_t Index, base::instant Now) const {
@@ -137,7 +147,7 @@
                                base::instant Now) {
   const bool OtherExists = std::any_of(
       Targets.begin(), Targets.end(), [&](const target_state &Target) {
-        return Target.limit(Now) > 0 &&
+        return usable(Target, Now) &&
                !wasTried(Earlier, Target.current().Target);
       });
   if (!OtherExists)
--- a/modules/routing/internal/servicerouter.cpp
+++ b/modules/routing/internal/servicerouter.cpp
@@ -35,11 +35,18 @@
   if (!Strategy || Changed.Strategy != Policy.Strategy)
     Strategy = std::move(Chosen);
   Policy = Changed;
+  Removed = false;
   Detector.setOptions({.MaxEjectedShare = Policy.MaxEjectedShare});
   for (target_state &Target : Targets)
     Target.Tier = tierOf(Target.current().DataCentre);
 }
 
+std::vector<ticket_answer> service_router::remove() {
+  Removed = true;
+  return refuse([](const waiter &) { return true; },
+                error_kind::UnknownService);
+}
+
 std::vector<ticket_answer>
 service_router::refuse(const std::function<bool(const waiter &)> &Matches,
                        error_kind Kind) {
--- a/modules/routing/internal/servicerouter.h
+++ b/modules/routing/internal/servicerouter.h
@@ -27,6 +27,9 @@
 
   void setPolicy(const routing_policy &Changed,
                  std::unique_ptr<ipick_strategy> Chosen);
+  /// Takes no more requests; those in flight are still counted.
+  std::vector<ticket_answer> remove();
+  [[nodiscard]] bool removed() const { return Removed; }
   /// Refuses the waiters that \p Matches accepts.
   std::vector<ticket_answer>
   refuse(const std::function<bool(const waiter &)> &Matches,
@@ -78,10 +81,13 @@
   /// Some target that is not ejected may be sent to.
   [[nodiscard]] bool anyActive(base::instant Now) const;
   [[nodiscard]] bool anyRoom(base::instant Now) const;
-  void collect(std::span<const attempt> Earlier, std::size_t MaxTier,
-               base::instant Now);
-  bool takesPart(const target_state &Target, std::size_t MaxTier,
-                 bool OnlyEjected);
+  /// May be sent to, now or when a request there ends.
+  [[nodiscard]] bool usable(const target_state &Target,
+                            base::instant Now) const;
+  void collect(const waiter &Waiter, std::size_t MaxTier, base::instant Now);
+  /// Decides on targets in probation at random.
+  bool takesPart(const target_state &Target, const request_profile &Request,
+                 base::instant Now);
   [[nodiscard]] target_view viewOf(std::size_t Index, base::instant Now) const;
   void dropTried(std::span<const attempt> Earlier, base::instant Now);
 
@@ -107,6 +113,7 @@
   std::vector<observation> Observations;
   std::vector<target_view> Views;
   base::instant Evaluated{};
+  bool Removed = false;
 };
 
 } // namespace fulmar::routing
--- a/modules/routing/tests/router_tests.cpp
+++ b/modules/routing/tests/router_tests.cpp
@@ -193,3 +193,41 @@
                     .Target.Target.str());
   CHECK(Used.contains("far"));
 }
+
+TEST(Router, aRemovedServiceIsCountedUntilItsRequestsEnd) {
+  Router.candidatesChanged(Registry, {candidateOf("a", 1)}, at(seconds(0)));
+  const permit First = granted(Router.acquire(requestOf(), {}, at(seconds(0))));
+  Router.acquire(requestOf(), {}, at(seconds(0)));
+  CHECK(Router.removeService(Registry).size() == 1);
+  CHECK(refused(Router.acquire(requestOf(), {}, at(seconds(0)))) ==
+        base::error_kind::UnknownService);
+  Router.tick(at(seconds(1)));
+  CHECK(Router.demand(Registry) == 1);
+  Router.finish(First, endOf(First, attempt_end::Answered, 200), requestOf(),
+                at(seconds(1)));
+  Router.tick(at(seconds(1)));
+  CHECK(Router.inFlight(Registry).empty());
+}
+
+TEST(Router, aRetryWaitsForNoEjectedTarget) {
+  const std::vector<candidate> Listed = {
+      candidateOf("a", 8), candidateOf("b", 8), candidateOf("c", 8),
+      candidateOf("d", 8)};
+  Router.candidatesChanged(Registry, Listed, at(seconds(0)));
+  std::vector<attempt> Tried;
+  for (const char *Name : {"a", "b", "c"})
+    Tried.push_back({.Target = base::target_id(Name),
+                     .BytesSent = true,
+                     .End = attempt_end::Refused});
+  for (int Number = 0; Number < 200; ++Number) {
+    const permit Permit =
+        granted(Router.acquire(requestOf(), {}, at(milliseconds(Number))));
+    const bool Bad = Permit.Target.Target.str() == "d";
+    Router.finish(Permit, endOf(Permit, attempt_end::Answered, Bad ? 500 : 200),
+                  requestOf(), at(milliseconds(Number)));
+  }
+  CHECK(Router.targets(Registry).back().Standing == target_standing::Ejected);
+  const permit Again =
+      granted(Router.acquire(requestOf(), Tried, at(milliseconds(200))));
+  CHECK(Again.Target.Target.str() != "d");
+}
