--- a/modules/routing/tests/strategies_tests.cpp
+++ b/modules/routing/tests/strategies_tests.cpp
@@ -116,3 +116,18 @@
     Picked += Strategy->pick(Views, Random) == 1 ? 1 : 0;
   CHECK(Picked > 700);
 }
+
+TEST(Strategies, aSlowerTargetGetsASmallerShare) {
+  const auto Strategy = makeStrategy("adaptive");
+  base::random_source Random(1);
+  auto Views = idleViews(10);
+  for (target_view &View : Views)
+    View.InFlight = 1;
+  Views[4].Slowness = 2.5;
+  constexpr int Picks = 10000;
+  int Picked = 0;
+  for (int Number = 0; Number < Picks; ++Number)
+    Picked += Strategy->pick(Views, Random) == 4 ? 1 : 0;
+  // It wins only when it is drawn alone.
+  CHECK(Picked < Picks / 100);
+}
