--- a/modules/consensus/tests/replicatedlog_tests.cpp
+++ b/modules/consensus/tests/replicatedlog_tests.cpp
@@ -134,6 +134,31 @@
   }
 }
 
+TEST(ReplicatedLog, anEmptyDiskThatHeardTheLeaderDoesNotVoteForAShorterLog) {
+  for (std::uint64_t Seed = 1; Seed <= seeds(10); ++Seed) {
+    cluster Cluster(Three, Seed);
+    Cluster.waitWhole(3);
+    const replica_id Leader = Cluster.leader();
+    const replica_id Lost = followerOf(Cluster);
+    const replica_id Behind = thirdOf(Leader, Lost);
+    Cluster.isolate(Behind);
+    Cluster.accept(5);
+    // The empty instance learns of the cluster; the leader doesn't learn that
+    // the disk is lost.
+    Cluster.loseDisk(Lost);
+    Cluster.Cut.insert({Lost, Leader});
+    Cluster.start(Lost);
+    Cluster.run(milliseconds(700));
+    CHECK(!Cluster.status(Lost).ClusterId.empty());
+    Cluster.stop(Leader);
+    Cluster.Cut.clear();
+    Cluster.run(seconds(20));
+    CHECK(Cluster.leader().empty());
+    Cluster.start(Leader);
+    expectConvergence(Cluster, 3);
+  }
+}
+
 TEST(ReplicatedLog, theInstanceThatFormedTheClusterDoesNotFormAnother) {
   for (std::uint64_t Seed = 1; Seed <= seeds(10); ++Seed) {
     cluster Cluster(Three, Seed);
--- a/modules/journal/tests/journal_tests.cpp
+++ b/modules/journal/tests/journal_tests.cpp
@@ -137,6 +137,14 @@
   CHECK(withoutDropped(Again.value().Contents) == Expected);
 }
 
+void checkCopy(const memory_filesystem &Files, const contents &Expected) {
+  memory_filesystem Copy;
+  Copy.setContents(Files.contents());
+  const auto Reopened = openIn(Copy);
+  CHECK(Reopened.has_value());
+  CHECK(withoutDropped(Reopened.value().Contents) == Expected);
+}
+
 std::map<std::string, std::string> finishedFiles() {
   memory_filesystem Files;
   runScript(makeScript(), Files);
@@ -252,13 +260,10 @@
         CHECK(Result.error().Kind == base::error_kind::StorageFull);
         CHECK(Journal.usable());
         // What was refused must not come back after a crash.
-        memory_filesystem Copy;
-        Copy.setContents(Files.contents());
-        auto Reopened = openIn(Copy);
-        CHECK(Reopened.has_value());
-        CHECK(withoutDropped(Reopened.value().Contents) == States[Done]);
+        checkCopy(Files, States[Done]);
         Files.Capacity = 1 << 20;
         Result = Step.Run(Journal);
+        checkCopy(Files, States[Done + 1]);
       }
       CHECK(Result.has_value());
       ++Done;
--- a/modules/journal/tests/memoryfilesystem.h
+++ b/modules/journal/tests/memoryfilesystem.h
@@ -227,25 +227,31 @@
     if (!Current.starts_with(Durable))
       return Random() % 2 == 0 ? Durable : Current;
     const std::size_t Unsynced = Current.size() - Durable.size();
-    switch (Random() % 4) {
+    switch (Random() % 5) {
     case 0:
       return Durable;
     case 1:
       return Current;
     case 2:
       return Current.substr(0, Durable.size() + Random() % (Unsynced + 1));
+    case 3:
+      return losePages(Current, Durable.size(), Random, 2);
     default:
-      break;
+      return losePages(Current, Durable.size(), Random, 8);
     }
-    // Some pages were written, others were not.
+  }
+
+  /// Pages are written out in any order: one in \p Share is still missing.
+  static std::string losePages(std::string Bytes, std::size_t From,
+                               base::random_source &Random,
+                               std::uint64_t Share) {
     constexpr std::size_t PageBytes = 16;
-    std::string Torn = Current;
-    for (std::size_t At = Durable.size(); At < Torn.size(); At += PageBytes) {
-      if (Random() % 2 == 0)
-        std::fill_n(Torn.begin() + static_cast<std::ptrdiff_t>(At),
-                    std::min(PageBytes, Torn.size() - At), '\0');
+    for (std::size_t At = From; At < Bytes.size(); At += PageBytes) {
+      if (Random() % Share == 0)
+        std::fill_n(Bytes.begin() + static_cast<std::ptrdiff_t>(At),
+                    std::min(PageBytes, Bytes.size() - At), '\0');
     }
-    return Torn;
+    return Bytes;
   }
 
   name_map Names;
