--- a/modules/consensus/include/fulmar/consensus/messages.h
+++ b/modules/consensus/include/fulmar/consensus/messages.h
@@ -158,7 +158,10 @@
 
 /// The envelope's cluster id is empty when the data folder is.
 struct join_reply {
-  MSGPACK_DEFINE()
+  /// The disk that asked.
+  std::string ForStorage;
+
+  MSGPACK_DEFINE(ForStorage)
   friend auto operator<=>(const join_reply &, const join_reply &) = default;
 };
 
--- a/modules/consensus/internal/replicamembership.cpp
+++ b/modules/consensus/internal/replicamembership.cpp
@@ -148,12 +148,13 @@
 
 void replica::on(const message &Message, const join_probe & /*Body*/,
                  base::instant /*Now*/) {
-  send(Message.From, join_reply{});
+  send(Message.From, join_reply{.ForStorage = Message.StorageId});
 }
 
-void replica::on(const message &Message, const join_reply & /*Body*/,
+void replica::on(const message &Message, const join_reply &Body,
                  base::instant Now) {
-  if (!HardState.ClusterId.empty())
+  // An answer to an earlier disk says nothing about now.
+  if (!HardState.ClusterId.empty() || Body.ForStorage != HardState.StorageId)
     return;
   // A cluster exists: its leader will admit this instance.
   if (!Message.ClusterId.empty()) {
--- a/modules/consensus/tests/replica_tests.cpp
+++ b/modules/consensus/tests/replica_tests.cpp
@@ -4,12 +4,15 @@
 
 #include "fulmar/testing/property.h"
 
+#include <algorithm>
+
 using namespace fulmar;
 using namespace fulmar::consensus;
 
 namespace {
 
 const configuration Members{.Voters = {{"a", "1"}, {"b", "2"}, {"c", "3"}},
+                            .Learners = {{"d", "4"}},
                             .Formed = true};
 
 /// Replica a with a configuration of term 1 and a command of term 2.
@@ -18,7 +21,7 @@
     return static_cast<std::uint8_t>(Given);
   };
   return replica(
-      {.Id = "a", .Seed = 1},
+      {.Id = "a", .TrailingEntries = 0, .Seed = 1},
       {.HardState = {"cluster", "1", 3, ""},
        .Entries = {{1, 1, Kind(entry_kind::Configuration), encode(Members)},
                    {2, 2, Kind(entry_kind::Command), "command"}}},
@@ -81,6 +84,22 @@
   CHECK_EQUAL(3, Driver.Replica.commitIndex());
 }
 
+TEST(Replica, aLearnerIsPromotedOnlyOnceItHoldsEverythingCommitted) {
+  replica_driver Driver;
+  Driver.becomeLeader();
+  const stamp Sent = stampOf(Driver.Now);
+  Driver.receive(4, append_response{true, 3, Sent});
+  CHECK_EQUAL(3, Driver.Replica.commitIndex());
+  Driver.receive(4, heartbeat_response{Sent, 0}, "d", "4");
+  Driver.receive(4, append_response{true, 2, Sent}, "d", "4");
+  Driver.Replica.tick(Driver.Now);
+  CHECK(Driver.Replica.members() == Members);
+  Driver.receive(4, append_response{true, 3, Sent}, "d", "4");
+  Driver.Replica.tick(Driver.Now);
+  CHECK_EQUAL(4, Driver.Replica.members().Voters.size());
+  CHECK(Driver.Replica.members().Learners.empty());
+}
+
 TEST(Replica, aVoteIsGivenOnceATermAndStoredBeforeItIsSent) {
   replica_driver Driver;
   const vote_request Request{.LastIndex = 9, .LastTerm = 3};
@@ -94,6 +113,46 @@
   CHECK(!std::get<vote_response>(Second.Messages.front().Body).Granted);
 }
 
+TEST(Replica, aShorterLogGetsNoVote) {
+  replica_driver Driver;
+  Driver.receive(5, vote_request{.LastIndex = 9, .LastTerm = 1});
+  Driver.receive(5, vote_request{.LastIndex = 1, .LastTerm = 2});
+  for (const message &Answer : Driver.settle().Messages)
+    CHECK(!std::get<vote_response>(Answer.Body).Granted);
+}
+
+TEST(Replica, aLateAppendAnswerDoesNotStopASnapshot) {
+  replica_driver Driver;
+  Driver.becomeLeader();
+  const stamp Sent = stampOf(Driver.Now);
+  Driver.receive(4, append_response{true, 3, Sent});
+  (void)Driver.settle();
+  Driver.Replica.compact(std::make_shared<snapshot>(
+      snapshot{.Index = 3, .Term = 4, .Members = Members, .State = "state"}));
+  Driver.receive(4, append_response{false, 0, Sent}, "c", "3");
+  Driver.receive(4, append_response{true, 1, Sent}, "c", "3");
+  (void)Driver.settle();
+  Driver.Now += std::chrono::milliseconds(500);
+  Driver.Replica.tick(Driver.Now);
+  const auto Messages = Driver.settle().Messages;
+  CHECK(std::any_of(Messages.begin(), Messages.end(), [](const auto &Sending) {
+    return std::holds_alternative<snapshot_request>(Sending.Body);
+  }));
+}
+
+TEST(Replica, aClusterIsFormedOnlyOnAnswersToThisDisk) {
+  replica Empty({.Id = "a", .Bootstrap = true, .InitialVoters = {"a", "b"}}, {},
+                base::instant());
+  const auto Answer = [&](const std::string &ForStorage) {
+    Empty.receive({"", "b", "a", "2", 0, join_reply{ForStorage}},
+                  base::instant());
+    return Empty.currentRole();
+  };
+  Empty.tick(base::instant());
+  CHECK(Answer("earlier disk") == role::Follower);
+  CHECK(Answer(Empty.storageId()) == role::Leader);
+}
+
 TEST(Replica, messagesOfAnotherClusterAreIgnored) {
   replica_driver Driver;
   Driver.Replica.receive(
