Directory: settle what an earlier owner left behind from several counts

Cause: a request that ended between the target's count and the entry's report was taken for unreported work, and lowered the capacity by one for up to a minute. Ruled out: one count with the last reports; reports older than the count say too much. Only reports after the count are summed, up to three times. Conclusion: a new owner begins at the first count without unreported work.

--- a/modules/directory/internal/shareledger.cpp
+++ b/modules/directory/internal/shareledger.cpp
@@ -68,10 +68,12 @@
   return committedExcept("", Now);
 }
 
-std::uint64_t share_ledger::reported() const {
+std::uint64_t share_ledger::reported(base::instant Since) const {
   std::uint64_t Sum = 0;
-  for (const auto &[Name, Account] : Accounts)
-    Sum += Account.InFlight;
+  for (const auto &[Name, Account] : Accounts) {
+    if (Account.HeardAt > Since)
+      Sum += Account.InFlight;
+  }
   return Sum;
 }
 
--- a/modules/directory/internal/shareledger.h
+++ b/modules/directory/internal/shareledger.h
@@ -52,8 +52,8 @@
 
   /// Requests that entries may have in flight now.
   [[nodiscard]] std::uint64_t committed(base::instant Now) const;
-  /// Sum of the counts that entries reported last.
-  [[nodiscard]] std::uint64_t reported() const;
+  /// Sum of the counts that entries reported after \p Since.
+  [[nodiscard]] std::uint64_t reported(base::instant Since) const;
   /// When the last grant ends, at the latest.
   [[nodiscard]] base::instant lapsesAt() const { return LapsesAt; }
   /// Whether an entry's next report has to be taken over.
--- a/modules/directory/internal/takeover.cpp
+++ b/modules/directory/internal/takeover.cpp
@@ -8,7 +8,9 @@
 
 void takeover::begin(base::instant Now) {
   BeganAt = Now;
+  CountedAt = Now;
   Counted.reset();
+  CountsTaken = 0;
   Bound.reset();
 }
 
@@ -19,22 +21,25 @@
     Bound = std::min(*Bound, InFlight);
     return;
   }
-  if (!Counted || InFlight < *Counted) {
+  if (!Counted) {
     Counted = InFlight;
     CountedAt = Now;
+    ++CountsTaken;
   }
   if (InFlight == 0)
     Bound = 0;
 }
 
-std::optional<std::uint32_t> takeover::unreported(std::uint64_t Reported,
-                                                  base::instant Now) {
-  if (!Bound && Counted && Now - CountedAt >= Options.ReportInterval)
-    Bound = *Counted - static_cast<std::uint32_t>(
-                           std::min<std::uint64_t>(Reported, *Counted));
+void takeover::settle(std::uint64_t Reported, base::instant Now) {
+  if (!Bound && Counted && Now - CountedAt >= Options.ReportInterval) {
+    const std::uint64_t Known = std::min<std::uint64_t>(Reported, *Counted);
+    const std::uint32_t Left = *Counted - static_cast<std::uint32_t>(Known);
+    Counted.reset();
+    if (Left == 0 || CountsTaken >= Options.Counts)
+      Bound = Left;
+  }
   if (Bound && Now - BeganAt >= Options.LongestRequest)
     Bound = 0;
-  return Bound;
 }
 
 } // namespace fulmar::directory
--- a/modules/directory/internal/takeover.h
+++ b/modules/directory/internal/takeover.h
@@ -20,6 +20,9 @@
   base::duration Transit = std::chrono::milliseconds(100);
   /// Every entry reports within this time.
   base::duration ReportInterval = std::chrono::seconds(1);
+  /// Counts taken before something is taken for unreported: a request that
+  /// ends between a count and the report looks like it.
+  int Counts = 3;
   /// Requests in flight do not outlive this.
   base::duration LongestRequest = std::chrono::minutes(1);
 };
@@ -33,16 +36,23 @@
   /// An announcement with the target's own count of requests in flight.
   void onAnnouncement(std::uint32_t InFlight, base::instant Now);
 
-  /// Requests in flight beyond those in \p Reported, the sum of the entries'
-  /// reports; empty while not known.
-  std::optional<std::uint32_t> unreported(std::uint64_t Reported,
-                                          base::instant Now);
+  /// Reports are to be summed up from this time on.
+  [[nodiscard]] base::instant countedAt() const { return CountedAt; }
+  /// Compares the count with \p Reported, the sum of the reports that arrived
+  /// after countedAt().
+  void settle(std::uint64_t Reported, base::instant Now);
+
+  /// Requests in flight beyond those that are reported; empty while not known.
+  [[nodiscard]] std::optional<std::uint32_t> unreported() const {
+    return Bound;
+  }
 
 private:
   takeover_options Options;
   base::instant BeganAt{};
   std::optional<std::uint32_t> Counted;
   base::instant CountedAt{};
+  int CountsTaken = 0;
   /// Only shrinks, because nobody starts new unreported work.
   std::optional<std::uint32_t> Bound;
 };
--- a/modules/directory/internal/targetrecord.cpp
+++ b/modules/directory/internal/targetrecord.cpp
@@ -31,7 +31,7 @@
     : Ledger({.Permission = Given.Permission, .GrantMargin = Given.GrantMargin},
              First.Id.str()),
       Options(Given), Takeover({.Transit = Given.GrantMargin,
-                                .ReportInterval = Given.Permission.Grant}),
+                                .ReportInterval = Given.Permission.Grant / 2}),
       Last(First), HeardAt(Now), Load(First.Load), LoadAt(Now) {
   Ramp.restart(First.Bears, Now);
 }
@@ -80,6 +80,7 @@
     Probes.empty();
   if (Acting && !Continues)
     Takeover.begin(Now);
+  Takeover.settle(Ledger.reported(Takeover.countedAt()), Now);
   ActedAt = Acting ? std::optional(Now) : std::nullopt;
 }
 
@@ -166,8 +167,8 @@
 }
 
 std::uint32_t target_record::grantable(const service_policy &Policy,
-                                       base::instant Now) {
-  const auto Unreported = Takeover.unreported(Ledger.reported(), Now);
+                                       base::instant Now) const {
+  const auto Unreported = Takeover.unreported();
   const std::uint32_t Capacity = capacity(Policy, Now);
   return Unreported && *Unreported < Capacity ? Capacity - *Unreported : 0;
 }
--- a/modules/directory/internal/targetrecord.h
+++ b/modules/directory/internal/targetrecord.h
@@ -40,7 +40,8 @@
   [[nodiscard]] std::uint32_t capacity(const service_policy &Policy,
                                        base::instant Now) const;
   /// Capacity less what runs there without being reported.
-  std::uint32_t grantable(const service_policy &Policy, base::instant Now);
+  [[nodiscard]] std::uint32_t grantable(const service_policy &Policy,
+                                        base::instant Now) const;
   [[nodiscard]] bool expired(base::instant Now) const;
   [[nodiscard]] const announcement &announced() const { return Last; }
   [[nodiscard]] base::instant heardAt() const { return HeardAt; }
