--- a/modules/directory/tests/directory_benchmarks.cpp
+++ b/modules/directory/tests/directory_benchmarks.cpp
@@ -4,7 +4,8 @@
 #include "fulmar/directory/targetowner.h"
 #include "fulmar/testing/property.h"
 
-#include <json/writer.h>
+#include "published.h"
+
 #include <malloc.h>
 
 #include <cstdio>
@@ -37,18 +38,11 @@
   costs_fixture() {
     fulmar::publication::published_items Items;
     for (int Index = 0; Index < EntryCount; ++Index) {
-      const member Member{.Id = instance_id(entryName(Index)),
-                          .Incarnation = "1",
-                          .DataCentre = data_centre_name("dc"),
-                          .Address = "10.0.0.1:1",
-                          .RpcAddress = "10.0.0.1:2"};
       Items.put("member/" + entryName(Index),
-                Json::writeString(Json::StreamWriterBuilder(), toJson(Member)),
+                textOf(entryAt(entryName(Index), "dc")),
                 static_cast<fulmar::publication::serial>(Index) + 1);
     }
-    Ownership.onMembership(
-        std::make_shared<const membership>(membership::fromItems(Items)), {},
-        Now);
+    Ownership.onMembership(viewOf(Items), {}, Now);
     Now += std::chrono::seconds(5);
     Freshness.onAnswer(Now, duration(0));
   }
--- a/modules/directory/tests/directorytypes_tests.cpp
+++ b/modules/directory/tests/directorytypes_tests.cpp
@@ -6,10 +6,7 @@
 #include "fulmar/directory/sharetypes.h"
 #include "fulmar/testing/property.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-
-#include <sstream>
+#include "published.h"
 
 using namespace fulmar::directory;
 using namespace fulmar::base;
@@ -75,25 +72,12 @@
   return Json;
 }
 
-member entryAt(const std::string &Id, const std::string &DataCentre,
-               bool Stopping = false) {
-  return {.Id = instance_id(Id),
-          .Incarnation = "1",
-          .DataCentre = data_centre_name(DataCentre),
-          .Region = "r",
-          .Address = "10.0.0.1:1",
-          .RpcAddress = "10.0.0.1:2",
-          .Stopping = Stopping};
-}
-
-membership viewOf(const std::vector<member> &Members,
-                  const std::string &Out = "") {
+membership viewWith(const std::vector<member> &Members,
+                    const std::string &Out = "") {
   fulmar::publication::published_items Items;
   fulmar::publication::serial Serial = 0;
   for (const member &Member : Members)
-    Items.put("member/" + Member.Id.str(),
-              Json::writeString(Json::StreamWriterBuilder(), toJson(Member)),
-              ++Serial);
+    Items.put("member/" + Member.Id.str(), textOf(Member), ++Serial);
   Items.put("member/broken", "{", ++Serial);
   if (!Out.empty())
     Items.put("data-centre/" + Out, R"({"state":"out"})", ++Serial);
@@ -141,15 +125,16 @@
 TEST_GROUP(Membership){};
 
 TEST(Membership, leavesOutWhatCantBeRead) {
-  const membership View = viewOf({entryAt("a", "x")});
+  const membership View = viewWith({entryAt("a", "x")});
   CHECK_EQUAL(1, View.members().size());
   CHECK_EQUAL(1, View.faults().size());
 }
 
 TEST(Membership, callersAreSentToEntriesInServiceNearestFirst) {
-  const membership View = viewOf({entryAt("a", "x"), entryAt("b", "y"),
-                                  entryAt("c", "z"), entryAt("d", "y", true)},
-                                 "z");
+  const membership View =
+      viewWith({entryAt("a", "x"), entryAt("b", "y"), entryAt("c", "z"),
+                stopping(entryAt("d", "y"))},
+               "z");
   const std::vector<data_centre_name> Nearest = {data_centre_name("y"),
                                                  data_centre_name("x")};
   const auto Found = View.entriesForCallers(service_name("s"), Nearest, 1);
@@ -160,8 +145,8 @@
 
 TEST(Membership, parentsLeadUpwardsWithoutACycle) {
   const membership View =
-      viewOf({entryAt("a", "x"), entryAt("b", "x"), entryAt("c", "x"),
-              entryAt("d", "y"), entryAt("e", "y"), entryAt("f", "z")});
+      viewWith({entryAt("a", "x"), entryAt("b", "x"), entryAt("c", "x"),
+                entryAt("d", "y"), entryAt("e", "y"), entryAt("f", "z")});
   std::size_t Roots = 0;
   for (const member &Member : View.members()) {
     const auto Parents = View.parentsOf(Member.Id);
--- a/modules/directory/tests/fakecluster.cpp
+++ b/modules/directory/tests/fakecluster.cpp
@@ -2,7 +2,7 @@
 
 #include "fakecluster.h"
 
-#include <json/writer.h>
+#include "published.h"
 
 #include <algorithm>
 
@@ -74,15 +74,10 @@
 
 void fake_cluster::setMember(int Index, bool Present) {
   const fake_entry &Entry = *Entries[Index];
-  const member Member{.Id = Entry.Id,
-                      .Incarnation = Entry.Incarnation,
-                      .DataCentre = base::data_centre_name(dataCentreOf(Index)),
-                      .Address = addressOf(8000 + Index),
-                      .RpcAddress = addressOf(7000 + Index)};
-  const std::string Value =
-      Present ? Json::writeString(Json::StreamWriterBuilder(), toJson(Member))
-              : "";
-  publish(publication::MemberPrefix + Entry.Id.str(), Value);
+  const member Member =
+      entryAt(Entry.Id.str(), dataCentreOf(Index), Entry.Incarnation);
+  publish(publication::MemberPrefix + Entry.Id.str(),
+          Present ? textOf(Member) : "");
 }
 
 void fake_cluster::setDataCentre(const std::string &Name, bool In) {
@@ -172,9 +167,8 @@
   if (!Entry.Items.merge(Changes).has_value())
     return;
   if (Entry.Items.latest() != Before) {
-    Entry.Ownership->onMembership(
-        std::make_shared<const membership>(membership::fromItems(Entry.Items)),
-        changesSince(Entry.Items, Before), Now);
+    Entry.Ownership->onMembership(viewOf(Entry.Items),
+                                  changesSince(Entry.Items, Before), Now);
     Entry.Owner->setOutOfService(Entry.Ownership->view().outOfService(), Now);
   }
   Entry.Freshness.onAnswer(SentAt, Age);
--- a/modules/directory/tests/ownership_tests.cpp
+++ b/modules/directory/tests/ownership_tests.cpp
@@ -4,7 +4,7 @@
 #include "fulmar/directory/ownership.h"
 #include "fulmar/testing/property.h"
 
-#include <json/writer.h>
+#include "published.h"
 
 #include <algorithm>
 #include <random>
@@ -18,18 +18,6 @@
 
 constexpr duration Permission = milliseconds(4000);
 
-std::string memberJson(const std::string &Id, const std::string &Incarnation,
-                       const std::string &DataCentre, bool Stopping = false) {
-  return Json::writeString(
-      Json::StreamWriterBuilder(),
-      toJson(member{.Id = instance_id(Id),
-                    .Incarnation = Incarnation,
-                    .DataCentre = data_centre_name(DataCentre),
-                    .Address = "10.0.0.1:80",
-                    .RpcAddress = "10.0.0.1:81",
-                    .Stopping = Stopping}));
-}
-
 /// One instance that learns of views late.
 struct learner {
   std::string Id;
@@ -50,9 +38,7 @@
     if (!Items.merge(Source.changesSince(Before)).has_value())
       return;
     if (Items.latest() != Before)
-      Ownership.onMembership(
-          std::make_shared<const membership>(membership::fromItems(Items)),
-          changesSince(Items, Before), Now);
+      Ownership.onMembership(viewOf(Items), changesSince(Items, Before), Now);
     Freshness.onAnswer(Asked, Age);
   }
 };
@@ -97,11 +83,11 @@
   void put(const learner &Learner, bool Present) {
     published_items Items =
         History.empty() ? published_items() : History.back().Items;
-    Items.put(
-        "member/" + Learner.Id,
-        Present ? memberJson(Learner.Id, "1", Learner.DataCentre, below(4) == 0)
-                : "",
-        ++Serial);
+    const member Member = entryAt(Learner.Id, Learner.DataCentre);
+    const bool Stops = below(4) == 0;
+    Items.put("member/" + Learner.Id,
+              Present ? textOf(Stops ? stopping(Member) : Member) : "",
+              ++Serial);
     History.push_back({Now, Items});
   }
 
@@ -156,7 +142,7 @@
 TEST(Ownership, aGainedTargetWaitsAndAKeptOneContinues) {
   learner One("a", "dc0");
   published_items Control;
-  Control.put("member/a", memberJson("a", "1", "dc0"), 1);
+  Control.put("member/a", textOf(entryAt("a", "dc0")), 1);
   instant Now{std::chrono::seconds(10)};
   const target_id Target("t");
   const data_centre_name Place("dc0");
@@ -172,11 +158,11 @@
   Now += milliseconds(1);
   CHECK(Acts());
   // A member elsewhere changes nothing here.
-  Control.put("member/c", memberJson("c", "1", "dc1"), 2);
+  Control.put("member/c", textOf(entryAt("c", "dc1")), 2);
   One.learn(Control, Now, duration(0), Now);
   CHECK(Acts());
   // Another incarnation under this id is not this process.
-  Control.put("member/a", memberJson("a", "2", "dc0"), 3);
+  Control.put("member/a", textOf(entryAt("a", "dc0", "2")), 3);
   One.learn(Control, Now, duration(0), Now);
   CHECK_FALSE(Acts());
 }
--- a/modules/directory/tests/shareview_tests.cpp
+++ b/modules/directory/tests/shareview_tests.cpp
@@ -3,7 +3,7 @@
 #include "fulmar/directory/shareview.h"
 #include "fulmar/testing/property.h"
 
-#include <json/writer.h>
+#include "published.h"
 
 using namespace fulmar::directory;
 using namespace fulmar::base;
@@ -33,19 +33,11 @@
 
   void publish(const std::string &Key, const std::string &Value) {
     Items.put(Key, Value, ++Serial);
-    Ownership.onMembership(
-        std::make_shared<const membership>(membership::fromItems(Items)), {},
-        Now);
+    Ownership.onMembership(viewOf(Items), {}, Now);
   }
 
   void publishMember(const std::string &Id, const std::string &DataCentre) {
-    const member Member{.Id = instance_id(Id),
-                        .Incarnation = "1",
-                        .DataCentre = data_centre_name(DataCentre),
-                        .Address = "10.0.0.1:1",
-                        .RpcAddress = "10.0.0.1:2"};
-    publish("member/" + Id,
-            Json::writeString(Json::StreamWriterBuilder(), toJson(Member)));
+    publish("member/" + Id, textOf(entryAt(Id, DataCentre)));
   }
 
   share_request ask(const router_counters &Counters = {}) {
--- a/modules/directory/tests/targetowner_tests.cpp
+++ b/modules/directory/tests/targetowner_tests.cpp
@@ -4,7 +4,7 @@
 #include "fulmar/directory/targetowner.h"
 #include "fulmar/testing/property.h"
 
-#include <json/writer.h>
+#include "published.h"
 
 using namespace fulmar::directory;
 using namespace fulmar::base;
@@ -37,17 +37,9 @@
                     .Bears = 2};
 
   owner_fixture() {
-    const member Self{.Id = instance_id("a"),
-                      .Incarnation = "1",
-                      .DataCentre = data_centre_name("dc"),
-                      .Address = "10.0.0.1:1",
-                      .RpcAddress = "10.0.0.1:2"};
     published_items Items;
-    Items.put("member/a",
-              Json::writeString(Json::StreamWriterBuilder(), toJson(Self)), 1);
-    Ownership.onMembership(
-        std::make_shared<const membership>(membership::fromItems(Items)), {},
-        Now);
+    Items.put("member/a", textOf(entryAt("a", "dc")), 1);
+    Ownership.onMembership(viewOf(Items), {}, Now);
     pass(seconds(6));
   }
 
