Directory: members that came and went between two views are tested

The flag for an incomplete change and the incarnation of a returned process were not tested either. Conclusion: every condition of mayAct has a test that fails without it.

--- a/modules/directory/internal/membership.cpp
+++ b/modules/directory/internal/membership.cpp
@@ -94,8 +94,11 @@
 }
 
 const member *membership::find(const base::instance_id &Id) const {
-  const auto Found =
-      std::lower_bound(Members.begin(), Members.end(), member{.Id = Id}, byId);
+  const auto Found = std::lower_bound(
+      Members.begin(), Members.end(), Id,
+      [](const member &Member, const base::instance_id &Wanted) {
+        return Member.Id < Wanted;
+      });
   return Found != Members.end() && Found->Id == Id ? &*Found : nullptr;
 }
 
--- a/modules/directory/tests/ownership_tests.cpp
+++ b/modules/directory/tests/ownership_tests.cpp
@@ -161,12 +161,46 @@
   Control.put("member/c", textOf(entryAt("c", "dc1")), 2);
   One.learn(Control, Now, duration(0), Now);
   CHECK(Acts());
+  // Nothing is known of what happened before a full copy.
+  One.Ownership.onMembership(viewOf(Control), {.Complete = false}, Now);
+  CHECK_FALSE(Acts());
   // Another incarnation under this id is not this process.
   Control.put("member/a", textOf(entryAt("a", "dc0", "2")), 3);
   One.learn(Control, Now, duration(0), Now);
+  Now += Permission + milliseconds(1);
+  One.learn(Control, Now, duration(0), Now);
   CHECK_FALSE(Acts());
 }
 
+TEST(Ownership, aMemberThatCameAndWentMayStillAct) {
+  learner Old("a", "dc0");
+  learner New("b", "dc0");
+  published_items Control;
+  Control.put("member/a", textOf(entryAt("a", "dc0")), 1);
+  instant Now{std::chrono::seconds(10)};
+  Old.learn(Control, Now, duration(0), Now);
+  // The old owner hears nothing while another one comes.
+  Control.put("member/b", textOf(entryAt("b", "dc0")), 2);
+  New.learn(Control, Now, duration(0), Now);
+  const data_centre_name Place("dc0");
+  int Number = 0;
+  while (!New.Ownership.owns(target_id(std::to_string(Number)), Place))
+    ++Number;
+  const target_id Target(std::to_string(Number));
+  Now += Permission + milliseconds(1);
+  New.learn(Control, Now, duration(0), Now);
+  CHECK(New.Ownership.mayAct(Target, Place, New.Freshness, Now));
+  // It is removed, which it does not hear, and the old one returns.
+  Control.put("member/b", "", 3);
+  Old.learn(Control, Now, duration(0), Now);
+  CHECK(Old.Ownership.owns(Target, Place));
+  CHECK_FALSE(Old.Ownership.mayAct(Target, Place, Old.Freshness, Now));
+  Now += Permission + milliseconds(1);
+  Old.learn(Control, Now, duration(0), Now);
+  CHECK(Old.Ownership.mayAct(Target, Place, Old.Freshness, Now));
+  CHECK_FALSE(New.Ownership.mayAct(Target, Place, New.Freshness, Now));
+}
+
 TEST_GROUP(Freshness){};
 
 TEST(Freshness, datesTheProofFromTheQuestionAndNeverGoesBack) {
