Hear what a target answered before it closed during an upload

Cause: a write that failed ended the attempt as broken, although the target may have refused the request before it closed the connection. Ruled out: reading only after an orderly close; a reset, too, leaves the bytes that arrived before it readable. Conclusion: a failed write is followed by a read, and a refusal during an upload reaches the caller as not run.

--- a/modules/proxy/internal/attemptrunner.cpp
+++ b/modules/proxy/internal/attemptrunner.cpp
@@ -67,7 +67,8 @@
 void attempt_runner::startAttempt(std::span<const routing::attempt> Earlier) {
   HedgeAt.reset();
   if (!Attempts.empty() && !maySendAgain())
-    return giveUp({base::error_kind::OutcomeUnknown,
+    return giveUp({provedNotRun() ? base::error_kind::Saturated
+                                  : base::error_kind::OutcomeUnknown,
                    "the request can't be sent a second time"});
   if (timeLeft() == base::duration(0))
     return giveUp({base::error_kind::DeadlinePassed, "the deadline passed"});
@@ -108,11 +109,10 @@
 void attempt_runner::dispatch(exchange Exchange) {
   const io_status Sent =
       Exchange->sendRequest(Request.Profile.Deadline, timeLeft());
-  if (Sent != io_status::Done)
-    return fail(std::move(Exchange), Sent == io_status::TimedOut
-                                         ? attempt_end::TimedOut
-                                         : attempt_end::Broken);
-  if (!Request.KeptBody)
+  if (Sent == io_status::TimedOut)
+    return fail(std::move(Exchange), attempt_end::TimedOut);
+  // A target that closed the connection may have answered before.
+  if (Sent == io_status::Done && !Request.KeptBody)
     return sendUpload(std::move(Exchange));
   Active.push_back(std::move(Exchange));
 }
@@ -134,8 +134,6 @@
     Active.push_back(std::move(Exchange));
     return;
   }
-  if (End == transfer_end::TargetBroke)
-    return fail(std::move(Exchange), attempt_end::Broken);
   if (End == transfer_end::TimedOut)
     return fail(std::move(Exchange), attempt_end::TimedOut);
   // The caller's fault: the target must not take the part for the whole.
--- a/modules/proxy/internal/bodytransfer.cpp
+++ b/modules/proxy/internal/bodytransfer.cpp
@@ -80,8 +80,9 @@
   transfer_end sendBytes(std::string_view Bytes) {
     while (!Bytes.empty()) {
       const io_status Status = Target.sendSome(Bytes);
+      // What the target answered before it closed is still to be read.
       if (Status == io_status::Failed)
-        return transfer_end::TargetBroke;
+        return transfer_end::EarlyAnswer;
       if (Status == io_status::Done)
         continue;
       std::array<pollfd, 2> Watched = {
--- a/modules/proxy/internal/bodytransfer.h
+++ b/modules/proxy/internal/bodytransfer.h
@@ -22,7 +22,7 @@
   CallerTooLarge,
   /// The target's part ended early.
   TargetBroke,
-  /// The target answers before it has taken the whole upload.
+  /// The target answers, or closes, before it has taken the whole upload.
   EarlyAnswer,
   TimedOut,
 };
--- a/modules/proxy/internal/frontconnection.cpp
+++ b/modules/proxy/internal/frontconnection.cpp
@@ -71,7 +71,8 @@
 
 front_connection::front_connection(const Poco::Net::StreamSocket &Socket,
                                    front_state &Shared)
-    : TCPServerConnection(Socket), State(Shared), Caller(Socket) {}
+    : TCPServerConnection(Socket), State(Shared), Caller(Socket),
+      Peer(Caller.peer()) {}
 
 void front_connection::run() {
   try {
@@ -100,7 +101,7 @@
 
 bool front_connection::serveRequest() {
   in_flight_entry Entry(State.InFlight,
-                        {.Peer = Caller.peer(), .Since = currentInstant()});
+                        {.Peer = Peer, .Since = currentInstant()});
   const auto Request = readHead();
   if (!Request.has_value()) {
     refuseHead(Request.error());
@@ -147,8 +148,7 @@
 }
 
 void front_connection::servePlain(caller_exchange &Exchange) {
-  plain_request Request{.Method = Exchange.request().getMethod(),
-                        .Peer = Caller.peer()};
+  plain_request Request{.Method = Exchange.request().getMethod(), .Peer = Peer};
   if (!readTarget(Exchange.request().getURI(), Request))
     return refusePlain(
         Exchange, {base::error_kind::BadRequest, "malformed request target"});
--- a/modules/proxy/internal/frontconnection.h
+++ b/modules/proxy/internal/frontconnection.h
@@ -56,6 +56,7 @@
 
   front_state &State;
   connection Caller;
+  const std::string Peer;
 };
 
 } // namespace fulmar::proxy
--- a/modules/proxy/tests/streaming_tests.cpp
+++ b/modules/proxy/tests/streaming_tests.cpp
@@ -215,6 +215,24 @@
   CHECK(peakKib() - Before < BoundKib);
 }
 
+TEST(Streaming, aRefusalDuringAnUploadIsHeard) {
+  fake_target Target([](connection &Peer) {
+    while (!headLength(Peer.unread()))
+      if (Peer.fill(soon()) != io_status::Done)
+        return;
+    // The reset must not hide what was answered before it.
+    sendText(Peer, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                   "Fulmar-Not-Started: true\r\n\r\n");
+    Peer.breakOff();
+  });
+  test_caller Caller(Fixture.start({Target.address()}));
+  Caller.send("POST /s/x HTTP/1.1\r\nHost: t\r\nContent-Length: " +
+              std::to_string(Large) + "\r\n\r\n" + std::string(Large, 'u'));
+  const auto Answer = Caller.receive();
+  LONGS_EQUAL(503, Answer.status());
+  STRCMP_EQUAL("true", Answer.Head.get("Fulmar-Not-Run", "").c_str());
+}
+
 TEST(Streaming, anEarlyAnswerEndsTheUpload) {
   fake_target Target([](connection &Peer) {
     while (!headLength(Peer.unread()))
--- a/programs/target/main.cpp
+++ b/programs/target/main.cpp
@@ -13,6 +13,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 
 #include <csignal>
 #include <iostream>
@@ -147,6 +148,8 @@
   absl::SetProgramUsageMessage(
       "Stand-in target. Example: fulmar-target --id=r1 --service=registry "
       "--listen=127.0.0.1:9001 --entries=127.0.0.1:8001");
+  absl::SetFlagsUsageConfig(
+      {.version_string = [] { return std::string("fulmar-target 0.1.0\n"); }});
   absl::ParseCommandLine(Argc, Argv);
   target_options Options;
   if (!readOptions(Options))
--- a/programs/target/workhandler.cpp
+++ b/programs/target/workhandler.cpp
@@ -80,7 +80,12 @@
   Response.setStatusAndReason(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
   Response.set("Fulmar-Not-Started", "true");
   Response.setContentLength(0);
-  if (Request.hasContentLength() && Request.getContentLength64() > 0)
+  constexpr Poco::Int64 MaxDrainedBytes = 1 << 20;
+  const bool Short = Request.hasContentLength() &&
+                     Request.getContentLength64() <= MaxDrainedBytes;
+  if (Short)
+    Request.stream().ignore(Request.getContentLength64());
+  else if (Request.hasContentLength() || Request.getChunkedTransferEncoding())
     Response.setKeepAlive(false);
   Response.send();
 }
