--- a/modules/proxy/tests/attempts_tests.cpp
+++ b/modules/proxy/tests/attempts_tests.cpp
@@ -118,6 +118,25 @@
   LONGS_EQUAL(Requests, Fixture.Router.finished().size());
 }
 
+TEST(Attempts, anIdleConnectionThatTheTargetClosedIsNotUsed) {
+  std::atomic<int> Closed{0};
+  fake_target Target([&Closed](connection &Peer) {
+    if (!receiveRequest(Peer))
+      return;
+    sendText(Peer, fixedAnswer("ok"));
+    ::shutdown(Peer.descriptor(), SHUT_WR);
+    ++Closed;
+    Peer.fill(soon());
+  });
+  test_caller Caller(Fixture.start({Target.address()}));
+  constexpr int Requests = 50;
+  for (int Number = 1; Number <= Requests; ++Number) {
+    LONGS_EQUAL(200, Caller.post("/s/x", "fee").status());
+    CHECK(eventually([&] { return Closed == Number; }));
+  }
+  LONGS_EQUAL(Requests, Target.connections());
+}
+
 TEST(Attempts, lateAndCrossedAnswersReachNobodyElse) {
   // Every fourth answer comes after the caller's deadline, on a connection
   // that must not carry another request.
--- a/modules/proxy/tests/streaming_tests.cpp
+++ b/modules/proxy/tests/streaming_tests.cpp
@@ -172,6 +172,7 @@
   constexpr std::uint64_t Bytes = std::uint64_t{64} << 20;
   constexpr long BoundKib = 24 * 1024;
   const std::string Block(65536, 'b');
+  const std::string Chunk = chunk(Block);
   std::atomic<std::uint64_t> Uploaded{0};
   fake_target Target([&](connection &Peer) {
     while (!headLength(Peer.unread()))
@@ -198,7 +199,7 @@
                std::string(Caller.raw().unread()).c_str());
   Caller.raw().consume(Caller.raw().unread().size());
   for (std::uint64_t Sent = 0; Sent < Bytes; Sent += Block.size())
-    Caller.send(chunk(Block));
+    Caller.send(Chunk);
   Caller.send("0\r\n\r\n");
   while (!headLength(Caller.raw().unread()))
     CHECK(Caller.raw().fill(soon()) == io_status::Done);
--- a/programs/load/loadrunner.cpp
+++ b/programs/load/loadrunner.cpp
@@ -81,7 +81,7 @@
     const std::string Address = Others.empty()
                                     ? Entries.pick(Number + Arrival)
                                     : Others[Arrival % Others.size()];
-    const load_answer Answer =
+    load_answer Answer =
         Address.empty() ? load_answer{} : Client.exchange(Request, Address);
     if (Arrival >= Options.Resends || !maySendAgain(Request, Answer))
       return Answer;
