Test deterministically that a reset hides no answer

Conclusion: a test at the transfer itself, with a target that has answered and reset before the first write.

--- a/modules/proxy/tests/streaming_tests.cpp
+++ b/modules/proxy/tests/streaming_tests.cpp
@@ -3,6 +3,7 @@
 #include "frontfixture.h"
 
 #include "fulmar/proxy/bodywriter.h"
+#include "internal/bodytransfer.h"
 
 #include <atomic>
 #include <fstream>
@@ -35,6 +36,17 @@
 const std::string ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+using connection_ptr = std::unique_ptr<connection>;
+
+/// Both ends of one connection.
+std::pair<connection_ptr, connection_ptr> connectedPair() {
+  Poco::Net::ServerSocket Listening = wire::listenOn("127.0.0.1:0");
+  auto Opened =
+      connection::open(Listening.address().toString(), TestPatience).value();
+  return {std::move(Opened),
+          std::make_unique<connection>(Listening.acceptConnection())};
+}
+
 /// Peak resident memory of this process in KiB.
 long peakKib() {
   std::ifstream Status("/proc/self/status");
@@ -234,6 +246,23 @@
   STRCMP_EQUAL("true", Answer.Head.get("Fulmar-Not-Run", "").c_str());
 }
 
+TEST(Streaming, aResetDoesNotHideWhatTheTargetAnswered) {
+  auto [CallerSide, Caller] = connectedPair();
+  auto [TargetSide, Target] = connectedPair();
+  sendText(*CallerSide, "hello");
+  CHECK(Caller->fill(soon()) == io_status::Done);
+  sendText(*TargetSide, "refusal");
+  TargetSide->breakOff();
+  const body_framing Framing{.Kind = framing_kind::Fixed, .Length = 10};
+  caller_exchange Exchange(*Caller, {}, Framing, {});
+  const auto End = transferUpload(
+      Exchange, *Target, Framing,
+      {.MaxBytes = 10, .IdleTimeout = TestPatience, .Deadline = soon()});
+  CHECK(End == transfer_end::EarlyAnswer);
+  CHECK(Target->fillNow() == io_status::Done);
+  STRCMP_EQUAL("refusal", std::string(Target->unread()).c_str());
+}
+
 TEST(Streaming, anEarlyAnswerEndsTheUpload) {
   fake_target Target([](connection &Peer) {
     while (!headLength(Peer.unread()))
