--- a/modules/directory/tests/fakecluster.cpp
+++ b/modules/directory/tests/fakecluster.cpp
@@ -2,7 +2,7 @@
 
 #include "fakecluster.h"
 
-#include <json/writer.h>
+#include "published.h"
 
 #include <algorithm>
 
@@ -16,6 +16,7 @@
 constexpr base::duration AnnounceInterval = milliseconds(500);
 /// Messages that pass through the codec, which is slow in checked builds.
 constexpr unsigned CodecPercent = 2;
+constexpr unsigned OtherOwnersPercent = 20;
 constexpr base::duration ProbeCost = milliseconds(6);
 const base::service_name Service("registry");
 
@@ -73,15 +74,10 @@
 
 void fake_cluster::setMember(int Index, bool Present) {
   const fake_entry &Entry = *Entries[Index];
-  const member Member{.Id = Entry.Id,
-                      .Incarnation = Entry.Incarnation,
-                      .DataCentre = base::data_centre_name(dataCentreOf(Index)),
-                      .Address = addressOf(8000 + Index),
-                      .RpcAddress = addressOf(7000 + Index)};
-  const std::string Value =
-      Present ? Json::writeString(Json::StreamWriterBuilder(), toJson(Member))
-              : "";
-  publish(publication::MemberPrefix + Entry.Id.str(), Value);
+  const member Member =
+      entryAt(Entry.Id.str(), dataCentreOf(Index), Entry.Incarnation);
+  publish(publication::MemberPrefix + Entry.Id.str(),
+          Present ? textOf(Member) : "");
 }
 
 void fake_cluster::setDataCentre(const std::string &Name, bool In) {
@@ -171,9 +167,8 @@
   if (!Entry.Items.merge(Changes).has_value())
     return;
   if (Entry.Items.latest() != Before) {
-    Entry.Ownership->onMembership(
-        std::make_shared<const membership>(membership::fromItems(Entry.Items)),
-        changesSince(Entry.Items, Before), Now);
+    Entry.Ownership->onMembership(viewOf(Entry.Items),
+                                  changesSince(Entry.Items, Before), Now);
     Entry.Owner->setOutOfService(Entry.Ownership->view().outOfService(), Now);
   }
   Entry.Freshness.onAnswer(SentAt, Age);
@@ -340,6 +335,15 @@
   }
 }
 
+bool fake_cluster::ownsAny(const fake_entry &Entry,
+                           const base::instance_id &Owner) const {
+  return std::any_of(
+      Targets.begin(), Targets.end(), [&](const fake_target &Target) {
+        return Entry.Ownership->ownerOf(Target.Said.Id,
+                                        Target.Said.DataCentre) == Owner;
+      });
+}
+
 void fake_cluster::run(base::duration Time) {
   for (const base::instant End = Now + Time; Now < End && Fault.empty();) {
     Now += Step;
@@ -363,8 +367,11 @@
         continue;
       Entry.NextSync = Now + SyncInterval;
       syncWithControl(Index);
-      for (const base::instance_id &Owner : Entry.Shares->owners())
-        syncShares(Index, indexOf(Owner));
+      for (const base::instance_id &Owner : Entry.Shares->owners()) {
+        // Others than the present owners are asked less often.
+        if (percent() < OtherOwnersPercent || ownsAny(Entry, Owner))
+          syncShares(Index, indexOf(Owner));
+      }
     }
     Check();
   }
--- a/modules/proxy/tests/streaming_tests.cpp
+++ b/modules/proxy/tests/streaming_tests.cpp
@@ -3,6 +3,7 @@
 #include "frontfixture.h"
 
 #include "fulmar/proxy/bodywriter.h"
+#include "internal/bodytransfer.h"
 
 #include <atomic>
 #include <fstream>
@@ -35,6 +36,17 @@
 const std::string ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+using connection_ptr = std::unique_ptr<connection>;
+
+/// Both ends of one connection.
+std::pair<connection_ptr, connection_ptr> connectedPair() {
+  Poco::Net::ServerSocket Listening = wire::listenOn("127.0.0.1:0");
+  auto Opened =
+      connection::open(Listening.address().toString(), TestPatience).value();
+  return {std::move(Opened),
+          std::make_unique<connection>(Listening.acceptConnection())};
+}
+
 /// Peak resident memory of this process in KiB.
 long peakKib() {
   std::ifstream Status("/proc/self/status");
@@ -172,6 +184,7 @@
   constexpr std::uint64_t Bytes = std::uint64_t{64} << 20;
   constexpr long BoundKib = 24 * 1024;
   const std::string Block(65536, 'b');
+  const std::string Chunk = chunk(Block);
   std::atomic<std::uint64_t> Uploaded{0};
   fake_target Target([&](connection &Peer) {
     while (!headLength(Peer.unread()))
@@ -198,7 +211,7 @@
                std::string(Caller.raw().unread()).c_str());
   Caller.raw().consume(Caller.raw().unread().size());
   for (std::uint64_t Sent = 0; Sent < Bytes; Sent += Block.size())
-    Caller.send(chunk(Block));
+    Caller.send(Chunk);
   Caller.send("0\r\n\r\n");
   while (!headLength(Caller.raw().unread()))
     CHECK(Caller.raw().fill(soon()) == io_status::Done);
@@ -215,6 +228,41 @@
   CHECK(peakKib() - Before < BoundKib);
 }
 
+TEST(Streaming, aRefusalDuringAnUploadIsHeard) {
+  fake_target Target([](connection &Peer) {
+    while (!headLength(Peer.unread()))
+      if (Peer.fill(soon()) != io_status::Done)
+        return;
+    // The reset must not hide what was answered before it.
+    sendText(Peer, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+                   "Fulmar-Not-Started: true\r\n\r\n");
+    Peer.breakOff();
+  });
+  test_caller Caller(Fixture.start({Target.address()}));
+  Caller.send("POST /s/x HTTP/1.1\r\nHost: t\r\nContent-Length: " +
+              std::to_string(Large) + "\r\n\r\n" + std::string(Large, 'u'));
+  const auto Answer = Caller.receive();
+  LONGS_EQUAL(503, Answer.status());
+  STRCMP_EQUAL("true", Answer.Head.get("Fulmar-Not-Run", "").c_str());
+}
+
+TEST(Streaming, aResetDoesNotHideWhatTheTargetAnswered) {
+  auto [CallerSide, Caller] = connectedPair();
+  auto [TargetSide, Target] = connectedPair();
+  sendText(*CallerSide, "hello");
+  CHECK(Caller->fill(soon()) == io_status::Done);
+  sendText(*TargetSide, "refusal");
+  TargetSide->breakOff();
+  const body_framing Framing{.Kind = framing_kind::Fixed, .Length = 10};
+  caller_exchange Exchange(*Caller, {}, Framing, {});
+  const auto End = transferUpload(
+      Exchange, *Target, Framing,
+      {.MaxBytes = 10, .IdleTimeout = TestPatience, .Deadline = soon()});
+  CHECK(End == transfer_end::EarlyAnswer);
+  CHECK(Target->fillNow() == io_status::Done);
+  STRCMP_EQUAL("refusal", std::string(Target->unread()).c_str());
+}
+
 TEST(Streaming, anEarlyAnswerEndsTheUpload) {
   fake_target Target([](connection &Peer) {
     while (!headLength(Peer.unread()))
