--- a/programs/ctl/internal/datacentrecommands.cpp
+++ b/programs/ctl/internal/datacentrecommands.cpp
@@ -76,7 +76,8 @@
     printJson(Call, Value);
   } else {
     const std::string State = Set["state"].asString();
-    if (Set["repeated"].asBool())
+    // Under a new id it was this command itself that sent it twice.
+    if (Set["repeated"].asBool() && !Call.Options.Operation.empty())
       Call.Out << "this operation was carried out before and set "
                << Operation.Name << " to " << State
                << "; nothing was changed now, and a later operation may have "
