Bound the spans in memory and prove that drops are counted

Cause: spans of the batch being written did not count against the queue's bound, and the test passed without the count of drops because it seldom caused one. The bound now covers both, and the test records faster than one batch is written. Checked: the test fails when drops are not counted.

--- a/modules/routing/tests/admissionqueue_tests.cpp
+++ b/modules/routing/tests/admissionqueue_tests.cpp
@@ -62,7 +62,7 @@
 
 private:
   waiter take(std::vector<waiter>::iterator Place) {
-    const waiter Taken = *Place;
+    waiter Taken = *Place;
     Waiters.erase(Place);
     return Taken;
   }
--- a/modules/telemetry/internal/spanexporter.cpp
+++ b/modules/telemetry/internal/spanexporter.cpp
@@ -46,9 +46,9 @@
       else
         Flushes.push_back(std::get<flush_request>(Message));
     }
-    Queued.fetch_sub(Spans.size());
     if (!Spans.empty() && !append(Spans))
       Dropped.fetch_add(Spans.size());
+    Queued.fetch_sub(Spans.size());
     for (const flush_request &Flush : Flushes)
       Flush->set(true);
   }
@@ -65,7 +65,7 @@
 
   const std::string ServiceName;
   base::mailbox<message> Queue;
-  /// Spans in Queue; never above MaxQueuedSpans.
+  /// Spans in Queue or being written; never above MaxQueuedSpans.
   std::atomic<std::uint64_t> Queued{0};
   std::atomic<std::uint64_t> Dropped{0};
   /// Used by Task only.
--- a/modules/telemetry/tests/trace_tests.cpp
+++ b/modules/telemetry/tests/trace_tests.cpp
@@ -130,12 +130,13 @@
 
 TEST(SpanExporter, everySpanIsWrittenOrCounted) {
   const span_file File;
-  constexpr std::size_t Recorded = 5000;
+  constexpr std::size_t Recorded = 10000;
   std::uint64_t Dropped = 0;
   {
     span_exporter Exporter("entry", File.Path.string());
+    const span Finished = finishedSpan(startChild(std::nullopt));
     for (std::size_t Number = 0; Number < Recorded; ++Number)
-      Exporter.record(finishedSpan(startChild(std::nullopt)));
+      Exporter.record(Finished);
     Exporter.flush();
     Dropped = Exporter.dropped();
   }
