Ask again when a doubled answer hides a lost one

A doubled answer had counted down the requests in flight to none while the answer to the last batch was lost, and the leader, with none in flight, sent nothing again. Whether a batch waits for its answer is now also told by the next index. Ruled out: loss of data; all logs were equal. The sanitizer build was not run again after this change.

--- a/modules/consensus/internal/replicareplication.cpp
+++ b/modules/consensus/internal/replicareplication.cpp
@@ -166,8 +166,9 @@
 
 void replica::retryStalled(base::instant Now) {
   for (auto &[Id, Peer] : Peers) {
-    if (Peer.InFlight == 0 ||
-        Now - Peer.LastSent < RetryHeartbeats * Options.Heartbeat)
+    // Doubled answers make InFlight too small, so that Next decides too.
+    const bool Waiting = Peer.InFlight > 0 || Peer.Next > Peer.Match + 1;
+    if (!Waiting || Now - Peer.LastSent < RetryHeartbeats * Options.Heartbeat)
       continue;
     if (Peer.Mode == peer_mode::Snapshot) {
       sendSnapshotChunk(Id, Peer, Now);
--- a/modules/consensus/tests/replica_tests.cpp
+++ b/modules/consensus/tests/replica_tests.cpp
@@ -157,6 +157,26 @@
   CHECK(Answer(Empty.storageId()) == role::Leader);
 }
 
+TEST(Replica, aLostAnswerAfterADoubledOneIsAskedForAgain) {
+  replica_driver Driver;
+  Driver.becomeLeader();
+  const stamp Sent = stampOf(Driver.Now);
+  Driver.receive(4, append_response{true, 3, Sent});
+  (void)Driver.settle();
+  CHECK(Driver.Replica.propose("next", Driver.Now).has_value());
+  (void)Driver.settle();
+  (void)Driver.settle();
+  Driver.receive(4, append_response{true, 3, Sent});
+  Driver.Now += std::chrono::milliseconds(500);
+  Driver.Replica.tick(Driver.Now);
+  const auto Messages = Driver.settle().Messages;
+  CHECK(std::any_of(Messages.begin(), Messages.end(), [](const auto &Sending) {
+    const auto *Request = std::get_if<append_request>(&Sending.Body);
+    return Sending.To == "b" && Request != nullptr &&
+           !Request->Entries.empty() && Request->Entries.front().Index == 4;
+  }));
+}
+
 TEST(Replica, messagesOfAnotherClusterAreIgnored) {
   replica_driver Driver;
   Driver.Replica.receive(
