Confirm crashes by a check, and drop settings that nothing reads

Cause: a request that crashed its targets was never quarantined: the first broken attempt removes the entry's permission, so that no further attempt could confirm that the target is gone. And the document accepted keys whose values no process used. The keys replay_kb, outlier_eject_ms, bears_cold, probe_budget_per_s, connections_per_target, return_ramp_ms, permission_ms, grant_ms and announce_lease_ms are refused now; their test of defaults covers a schema without any, by a comment line. claim-in-progress no longer counts as not run.

--- a/modules/base/internal/baseerrors.cpp
+++ b/modules/base/internal/baseerrors.cpp
@@ -28,7 +28,7 @@
     {error_kind::Stopping, "stopping", 503, -33014, NotRun, seconds(1)},
     {error_kind::DeadlinePassed, "deadline-passed", 504, -33015, NotRun,
      seconds(1)},
-    {error_kind::ClaimInProgress, "claim-in-progress", 409, -33020, NotRun,
+    {error_kind::ClaimInProgress, "claim-in-progress", 409, -33020, Unknown,
      seconds(1)},
     {error_kind::ClaimMismatch, "claim-mismatch", 422, -33021, NotRun, {}},
     {error_kind::OutcomeUnknown, "outcome-unknown", 502, -33030, Unknown,
--- a/modules/document/include/fulmar/document/controlpolicy.h
+++ b/modules/document/include/fulmar/document/controlpolicy.h
@@ -18,14 +18,8 @@
   /// Team whose token edits the section.
   std::string Owner;
 
-  /// How long an entry may give new work after its last proof.
-  std::chrono::milliseconds Permission{4000};
-  /// Validity of a granted share of a target's limit.
-  std::chrono::milliseconds Grant{1000};
   /// A member that is silent for this long has expired.
   std::chrono::milliseconds MemberLease{6000};
-  /// A target that is silent for this long has gone.
-  std::chrono::milliseconds AnnounceLease{4000};
   /// How long callers may keep an answer about entries.
   std::chrono::milliseconds EntriesAnswer{5000};
 
--- a/modules/document/include/fulmar/document/datacentreinfo.h
+++ b/modules/document/include/fulmar/document/datacentreinfo.h
@@ -20,7 +20,6 @@
   /// Data centres of one region are near to each other.
   std::string Region;
   /// Duration of the ramp after the data centre returns.
-  std::chrono::milliseconds ReturnRamp{10000};
   std::string Contact;
 
   friend auto operator<=>(const data_centre_info &,
--- a/modules/document/include/fulmar/document/servicepolicy.h
+++ b/modules/document/include/fulmar/document/servicepolicy.h
@@ -35,8 +35,6 @@
   std::chrono::milliseconds Queue{1000};
   std::chrono::milliseconds Timeout{30000};
   std::int64_t MaxBodyKilobytes = 1048576;
-  /// Bodies up to this size are kept for a permitted retry.
-  std::int64_t ReplayKilobytes = 64;
 
   /// Retries and hedges.
   bool IdempotentPosts = false;
@@ -48,16 +46,10 @@
 
   /// Outliers.
   std::int64_t OutlierSharePercent = 30;
-  std::chrono::milliseconds OutlierEject{5000};
 
   /// Cold start.
-  std::int64_t BearsCold = 1;
   std::chrono::milliseconds ColdRamp{10000};
 
-  /// Measuring.
-  std::int64_t ProbeBudgetPerSecond = 1;
-  std::int64_t ConnectionsPerTarget = 64;
-
   friend auto operator<=>(const service_policy &,
                           const service_policy &) = default;
 };
--- a/modules/document/internal/sectiontables.cpp
+++ b/modules/document/internal/sectiontables.cpp
@@ -21,11 +21,6 @@
         .Required = true,
         .Help = "region of the data centre"},
        &data_centre_info::Region},
-      {{.Key = "return_ramp_ms",
-        .Type = key_type::Milliseconds,
-        .Maximum = 3'600'000,
-        .Help = "duration of the ramp after the data centre returns"},
-       &data_centre_info::ReturnRamp},
       {contactSpec(), &data_centre_info::Contact},
   };
 }
--- a/modules/document/internal/servicetable.cpp
+++ b/modules/document/internal/servicetable.cpp
@@ -52,11 +52,6 @@
         .Maximum = std::int64_t{1} << 34,
         .Help = "largest body of a request"},
        &policy::MaxBodyKilobytes},
-      {{.Key = "replay_kb",
-        .Type = key_type::Integer,
-        .Maximum = 16'384,
-        .Help = "largest body that is kept for a retry"},
-       &policy::ReplayKilobytes},
   };
 }
 
@@ -92,40 +87,16 @@
         .Maximum = 90,
         .Help = "largest share of targets that may be ejected"},
        &policy::OutlierSharePercent},
-      {{.Key = "outlier_eject_ms",
-        .Type = key_type::Milliseconds,
-        .Minimum = 100,
-        .Maximum = 3'600'000,
-        .Help = "duration of a first ejection"},
-       &policy::OutlierEject},
   };
 }
 
 binding_table<policy> coldAndMeasuring() {
   return {
-      {{.Key = "bears_cold",
-        .Type = key_type::Integer,
-        .Minimum = 1,
-        .Maximum = 1024,
-        .Help = "requests in flight that a cold target bears when it does not "
-                "say so itself"},
-       &policy::BearsCold},
       {{.Key = "cold_ramp_ms",
         .Type = key_type::Milliseconds,
         .Maximum = 3'600'000,
         .Help = "duration of the ramp from cold to full"},
        &policy::ColdRamp},
-      {{.Key = "probe_budget_per_s",
-        .Type = key_type::Integer,
-        .Maximum = 100,
-        .Help = "probes a second of one target, over all entries"},
-       &policy::ProbeBudgetPerSecond},
-      {{.Key = "connections_per_target",
-        .Type = key_type::Integer,
-        .Minimum = 1,
-        .Maximum = 10'000,
-        .Help = "connections of all entries to one target"},
-       &policy::ConnectionsPerTarget},
   };
 }
 
--- a/modules/document/tests/sections_tests.cpp
+++ b/modules/document/tests/sections_tests.cpp
@@ -25,10 +25,10 @@
 TEST(Sections, aServiceTakesItsOwnKeysThenThePolicysThenDefaults) {
   const auto Policy =
       parseServicePolicy(std::string(Service) + "queue_ms = 7\nhedge = false\n",
-                         "owner = other\nqueue_ms = 5\nbears_cold = 3\n");
+                         "owner = other\nqueue_ms = 5\nmax_attempts = 4\n");
   CHECK(Policy.has_value());
   CHECK(Policy.value().Queue == std::chrono::milliseconds(7));
-  LONGS_EQUAL(3, Policy.value().BearsCold);
+  LONGS_EQUAL(4, Policy.value().MaxAttempts);
   LONGS_EQUAL(64, Policy.value().QueueLength);
   CHECK(!Policy.value().Hedge);
   STRCMP_EQUAL("team", Policy.value().Owner.c_str());
@@ -59,7 +59,8 @@
 
 TEST(Sections, defaultsAreWithinTheirOwnSchema) {
   for (const char *Name : {"service.a", "policy.control", "data-centre.a"}) {
-    std::string Text;
+    // An empty text would remove the section.
+    std::string Text = "# defaults\n";
     for (const key_spec &Spec : schemaOf(*section_name::parse(Name))) {
       if (!Spec.Default.empty())
         Text += Spec.Key + " = " + Spec.Default + "\n";
--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -135,6 +135,11 @@
                                     const request_profile &Request,
                                     base::instant Now);
 
+  /// A connection to the target was refused, apart from any permit: a check
+  /// after a broken attempt. May confirm that a request crashed it.
+  std::vector<ticket_answer> targetUnreachable(const base::target_id &Target,
+                                               base::instant Now);
+
   /// The waiting caller has gone; its ticket gets no answer.
   void cancel(const base::service_name &Service, ticket_id Ticket);
 
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -90,6 +90,12 @@
   return Answers;
 }
 
+std::vector<ticket_answer>
+router::targetUnreachable(const base::target_id &Target, base::instant Now) {
+  Crashes.unreachable(Target, Now);
+  return confirmCrashes(Now);
+}
+
 void router::cancel(const base::service_name &Service, ticket_id Ticket) {
   if (service_router *Found = find(Service))
     Found->cancel(Ticket);
--- a/programs/ctl/tests/commands_tests.cpp
+++ b/programs/ctl/tests/commands_tests.cpp
@@ -186,8 +186,8 @@
 
 TEST(Commands, keysListsDefaultsAndRanges) {
   CHECK(run({"keys", "policy.control"}) == exit_code::Done);
-  CHECK(outHas("permission_ms"));
-  CHECK(outHas("500..60000"));
+  CHECK(outHas("member_lease_ms"));
+  CHECK(outHas("1000..600000"));
   CHECK(!outHas("queue_length"));
 }
 
--- a/programs/entry/entryfront.cpp
+++ b/programs/entry/entryfront.cpp
@@ -63,10 +63,6 @@
       {.Listen = Options.Listen, .MaxConnections = Options.MaxConnections});
 }
 
-base::duration entry_front::keptAnswer() const {
-  return std::chrono::seconds(5);
-}
-
 proxy::plain_answer entry_front::ask(const std::string &Method,
                                      const Json::Value &Parameters) {
   return answerOf(Task.call(Method, Parameters));
--- a/programs/entry/entryfront.h
+++ b/programs/entry/entryfront.h
@@ -24,8 +24,6 @@
 
   base::result<void> start();
   proxy::http_front &server() { return Server; }
-  /// How long callers may keep an answer that names this entry.
-  [[nodiscard]] base::duration keptAnswer() const;
 
   void observed(const proxy::target_observation &Observation) override;
 
--- a/programs/entry/entrymessages.h
+++ b/programs/entry/entrymessages.h
@@ -66,12 +66,18 @@
   std::string Seen;
 };
 
+/// A target refused a connection that was made to check it.
+struct target_unreachable {
+  base::target_id Target;
+};
+
 /// The process was asked to stop.
 struct begin_stop {};
 
 using task_message =
     std::variant<rpc_call, acquire_permit, finish_permit, sync_answered,
-                 share_answered, target_observed, begin_stop>;
+                 share_answered, target_observed, target_unreachable,
+                 begin_stop>;
 
 } // namespace fulmar::entry
 
--- a/programs/entry/entrytask.cpp
+++ b/programs/entry/entrytask.cpp
@@ -35,7 +35,10 @@
              [this](base::instance_id Owner, json_result Answer) {
                Inbox.post(share_answered{std::move(Owner), std::move(Answer)});
              }),
-      Desk(std::random_device()()), Crashes(Caller) {
+      Desk(std::random_device()()), Crashes(Caller),
+      Checker([this](base::target_id Target) {
+        Inbox.post(target_unreachable{std::move(Target)});
+      }) {
   Knowledge.Changed.subscribe(
       [this](const base::instant &Now) { onItemsChanged(Now); });
 }
@@ -131,6 +134,8 @@
   Shares.setPolicies(Policies);
   Desk.setPolicies(Policies, Knowledge.self());
   Desk.setQuarantines(Knowledge.items(), Now);
+  // A data centre may have left, or an owner.
+  Desk.refresh(Shares.view(), Now);
   front_view::policy_map Visible;
   for (const auto &[Service, Policy] : Policies)
     Visible.emplace(Service, proxyPolicyOf(Policy));
@@ -139,7 +144,9 @@
     if (Address != Knowledge.self().Address)
       Others += (Others.empty() ? "" : ",") + Address;
   }
-  Front.replace(std::move(Visible), std::move(Others));
+  Front.replace({.Policies = std::move(Visible),
+                 .OtherEntries = std::move(Others),
+                 .KeptAnswer = Knowledge.policy().EntriesAnswer});
   Metrics.gaugeOf("fulmar_entry_serial")
       .set(static_cast<std::int64_t>(Knowledge.items().latest()));
 }
@@ -154,6 +161,16 @@
 
 void entry_task::take(const finish_permit &Finished, base::instant Now) {
   Desk.finish(Finished, Now);
+  Desk.reportObservations(Shares.view(), Now);
+  // The target gets no further request until its owner grants again, so that
+  // only a check can tell whether it is gone.
+  if (Finished.Outcome.End == routing::attempt_end::Broken)
+    Checker.check(
+        {Finished.Permit.Target.Target, Finished.Permit.Target.Address});
+}
+
+void entry_task::take(const target_unreachable &Refused, base::instant Now) {
+  Desk.targetUnreachable(Refused.Target, Now);
 }
 
 void entry_task::take(const sync_answered &Answered, base::instant Now) {
@@ -170,6 +187,7 @@
   if (!Observed.Seen.empty() && Observed.Seen != Observed.Believed)
     Shares.view().noteIncarnation(Observed.Target, Observed.Believed,
                                   Observed.Seen, Now);
+  Desk.refresh(Shares.view(), Now);
 }
 
 void entry_task::take(const begin_stop & /*Stop*/, base::instant Now) {
--- a/programs/entry/entrytask.h
+++ b/programs/entry/entrytask.h
@@ -12,6 +12,7 @@
 #include "knowledge.h"
 #include "routingdesk.h"
 #include "shareexchange.h"
+#include "targetchecker.h"
 
 #include "fulmar/base/mailbox.h"
 #include "fulmar/telemetry/metrics.h"
@@ -61,6 +62,7 @@
   void take(const sync_answered &Answered, base::instant Now);
   void take(const share_answered &Answered, base::instant Now);
   void take(const target_observed &Observed, base::instant Now);
+  void take(const target_unreachable &Refused, base::instant Now);
   void take(const begin_stop &Stop, base::instant Now);
 
   void onSync(const rpc_call &Call, base::instant Now);
@@ -87,6 +89,7 @@
   routing_desk Desk;
   front_view Front;
   crash_reporter Crashes;
+  target_checker Checker;
 
   /// The parent asked last, and its link.
   std::unique_ptr<wire::rpc_link> ParentLink;
--- a/programs/entry/frontview.h
+++ b/programs/entry/frontview.h
@@ -5,6 +5,7 @@
 #define FULMAR_PROGRAMS_ENTRY_FRONTVIEW_H
 
 #include "fulmar/base/identifier.h"
+#include "fulmar/base/time.h"
 #include "fulmar/proxy/proxytypes.h"
 
 #include <map>
@@ -20,9 +21,15 @@
 public:
   using policy_map = std::map<base::service_name, proxy::service_policy>;
 
-  void replace(policy_map Policies, std::string OtherEntries) {
-    auto Fresh = std::make_shared<const content>(
-        content{std::move(Policies), std::move(OtherEntries)});
+  struct content {
+    policy_map Policies;
+    std::string OtherEntries;
+    /// How long callers may keep an answer that names this entry.
+    base::duration KeptAnswer{};
+  };
+
+  void replace(content Content) {
+    auto Fresh = std::make_shared<const content>(std::move(Content));
     const std::lock_guard Lock(Mutex);
     Current = std::move(Fresh);
   }
@@ -41,12 +48,11 @@
     return current()->OtherEntries;
   }
 
-private:
-  struct content {
-    policy_map Policies;
-    std::string OtherEntries;
-  };
+  [[nodiscard]] base::duration keptAnswer() const {
+    return current()->KeptAnswer;
+  }
 
+private:
   [[nodiscard]] std::shared_ptr<const content> current() const {
     const std::lock_guard Lock(Mutex);
     return Current;
--- a/programs/entry/knowledge.cpp
+++ b/programs/entry/knowledge.cpp
@@ -25,10 +25,10 @@
 knowledge::knowledge(knowledge_options KnowledgeOptions)
     : Options(std::move(KnowledgeOptions)),
       View(std::make_shared<directory::membership>()),
-      Freshness(Policy.Permission),
+      Freshness(directory::permission_policy().Permission),
       Ownership({.Self = Options.Self.Id,
                  .Incarnation = Options.Self.Incarnation,
-                 .Handover = Policy.Permission}),
+                 .Handover = directory::permission_policy().Permission}),
       Parents({}) {
   chooseParents();
 }
--- a/programs/entry/knowledge.h
+++ b/programs/entry/knowledge.h
@@ -84,7 +84,6 @@
 
   knowledge_options Options;
   publication::published_items Items;
-  /// Stands before the parts that read it at construction.
   document::control_policy Policy;
   std::shared_ptr<const directory::membership> View;
   directory::freshness Freshness;
--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -25,7 +25,7 @@
 /// then waits for what is in flight. Cuts no request.
 void drain(entry::entry_task &Task, entry::entry_front &Front) {
   Task.beginStop();
-  std::this_thread::sleep_for(NewsTime + Front.keptAnswer());
+  std::this_thread::sleep_for(NewsTime + Task.front().keptAnswer());
   Front.server().beginStop();
   const base::steady_clock Clock;
   while (true) {
--- a/programs/entry/routingdesk.cpp
+++ b/programs/entry/routingdesk.cpp
@@ -129,6 +129,11 @@
       Router.finish(Finished.Permit, Finished.Outcome, Finished.Request, Now));
 }
 
+void routing_desk::targetUnreachable(const base::target_id &Target,
+                                     base::instant Now) {
+  answer(Router.targetUnreachable(Target, Now));
+}
+
 void routing_desk::refresh(const directory::share_view &Shares,
                            base::instant Now) {
   for (const auto &[Service, Policy] : Services)
@@ -153,8 +158,12 @@
 
 void routing_desk::reportObservations(directory::share_view &Shares,
                                       base::instant Now) {
-  for (const routing::observation &Seen : Router.takeObservations())
-    Shares.noteSign(Seen.Target, Seen.Incarnation, kindOf(Seen.Kind), Now);
+  for (const routing::observation &Seen : Router.takeObservations()) {
+    if (Seen.Kind == routing::observation_kind::IncarnationChanged)
+      Shares.noteIncarnation(Seen.Target, Seen.Incarnation, Seen.Seen, Now);
+    else
+      Shares.noteSign(Seen.Target, Seen.Incarnation, kindOf(Seen.Kind), Now);
+  }
 }
 
 void routing_desk::answer(const std::vector<routing::ticket_answer> &Answers) {
--- a/programs/entry/routingdesk.h
+++ b/programs/entry/routingdesk.h
@@ -30,6 +30,8 @@
   void acquire(const acquire_permit &Request, base::instant Now);
   void finish(const finish_permit &Finished, base::instant Now);
 
+  void targetUnreachable(const base::target_id &Target, base::instant Now);
+
   /// Gives the router the targets that may be used now.
   void refresh(const directory::share_view &Shares, base::instant Now);
   void tick(base::instant Now);
--- a/programs/entry/shareexchange.cpp
+++ b/programs/entry/shareexchange.cpp
@@ -14,12 +14,6 @@
 constexpr auto ShareTimeout = std::chrono::milliseconds(500);
 constexpr auto RelayTimeout = std::chrono::milliseconds(800);
 
-directory::permission_policy permissionOf(const document::control_policy &P) {
-  return {.Permission = P.Permission,
-          .Grant = P.Grant,
-          .AnnouncementLease = P.AnnounceLease};
-}
-
 const char *nameOf(directory::target_state State) {
   switch (State) {
   case directory::target_state::Cold:
@@ -47,11 +41,8 @@
 
 share_exchange::share_exchange(const knowledge &Known, answer_post AnswerPost)
     : Knowledge(Known), Post(std::move(AnswerPost)),
-      Owner({.Permission = permissionOf(Known.policy())}, Known.ownership(),
-            Known.freshness()),
-      View({.Self = Known.self().Id,
-            .Incarnation = Known.self().Incarnation,
-            .Permission = permissionOf(Known.policy())},
+      Owner({}, Known.ownership(), Known.freshness()),
+      View({.Self = Known.self().Id, .Incarnation = Known.self().Incarnation},
            Known.ownership(), Known.freshness()) {
   Owner.Changed.subscribe(logTarget);
 }
@@ -88,7 +79,7 @@
                                bool Urgent, base::instant Now) {
   const base::duration Interval =
       Urgent ? base::duration(UrgentInterval)
-             : base::duration(Knowledge.policy().Grant) / AsksPerGrant;
+             : directory::permission_policy().Grant / AsksPerGrant;
   for (auto &[Owned, Peer] : Peers) {
     if (Now - Peer.AskedAt >= Interval)
       ask(Owned, Peer, Counters, Now);
@@ -106,7 +97,7 @@
   if (!Peer.Link) {
     const auto Answer = Owner.onShareRequest(Request, Now);
     if (Answer.has_value())
-      View.onAnswer(Owned, Answer.value(), Now);
+      takeOver(Owned, Answer.value(), Now);
     return;
   }
   Peer.Link->post({.Method = "share.sync",
@@ -124,7 +115,17 @@
     return;
   const auto Parsed = directory::shareAnswerFromJson(Answer.value());
   if (Parsed.has_value())
-    View.onAnswer(Owned, Parsed.value(), Now);
+    takeOver(Owned, Parsed.value(), Now);
+}
+
+void share_exchange::takeOver(const base::instance_id &Owned,
+                              const directory::share_answer &Answer,
+                              base::instant Now) {
+  const bool GaveBack = View.onAnswer(Owned, Answer, Now);
+  const auto Peer = Peers.find(Owned);
+  // The owner can pass on what was given back once it knows.
+  if (GaveBack && Peer != Peers.end())
+    Peer->second.AskedAt = base::instant{};
 }
 
 base::result<Json::Value> share_exchange::serve(const Json::Value &Parameters,
--- a/programs/entry/shareexchange.h
+++ b/programs/entry/shareexchange.h
@@ -67,6 +67,8 @@
 
   void ask(const base::instance_id &Owned, peer &Peer,
            const directory::router_counters &Counters, base::instant Now);
+  void takeOver(const base::instance_id &Owned,
+                const directory::share_answer &Answer, base::instant Now);
   void updatePeers();
 
   const knowledge &Knowledge;
