--- a/programs/control/commandcodec.cpp
+++ b/programs/control/commandcodec.cpp
@@ -11,35 +11,27 @@
 using controlstate::command_body;
 using command_result = base::result<command_body>;
 
-/// What the builders of commands need besides the parameters.
-struct build_context {
-  const controlstate::control_state &State;
-  const std::string &AdministratorHash;
-};
-
 command_result buildEdit(const Json::Value &Parameters,
-                         const build_context &Context) {
+                         const controlstate::token_proof &Proof) {
   BOOST_OUTCOME_TRY(Author, textParameter(Parameters, "author"));
   BOOST_OUTCOME_TRY(Section, textParameter(Parameters, "section"));
   BOOST_OUTCOME_TRY(Number, numberParameter(Parameters, "number"));
   BOOST_OUTCOME_TRY(Content, textParameter(Parameters, "content"));
-  BOOST_OUTCOME_TRY(Token, textParameter(Parameters, "token"));
-  return command_body(controlstate::edit_command{
-      .Author = Author,
-      .Section = Section,
-      .Number = Number,
-      .Content = Content,
-      .Proof = Context.State.proveEdit(Section, Content, Token,
-                                       Context.AdministratorHash)});
+  BOOST_OUTCOME_TRYV(textParameter(Parameters, "token"));
+  return command_body(controlstate::edit_command{.Author = Author,
+                                                 .Section = Section,
+                                                 .Number = Number,
+                                                 .Content = Content,
+                                                 .Proof = Proof});
 }
 
 command_result buildDataCentre(const Json::Value &Parameters,
-                               const build_context &Context) {
+                               const controlstate::token_proof &Proof) {
   BOOST_OUTCOME_TRY(Operation, textParameter(Parameters, "operation"));
   BOOST_OUTCOME_TRY(Name, textParameter(Parameters, "name"));
   BOOST_OUTCOME_TRY(Action, textParameter(Parameters, "action"));
   BOOST_OUTCOME_TRY(Author, textParameter(Parameters, "author"));
-  BOOST_OUTCOME_TRY(Token, textParameter(Parameters, "token"));
+  BOOST_OUTCOME_TRYV(textParameter(Parameters, "token"));
   if (Action != "leave" && Action != "return")
     return base::fail(base::error_kind::BadRequest,
                       "action = '" + Action + "': expected leave or return");
@@ -49,7 +41,7 @@
       .Action = Action == "leave" ? controlstate::data_centre_action::Leave
                                   : controlstate::data_centre_action::Return,
       .Author = Author,
-      .Proof = Context.State.proveDataCentre(Name, Token)});
+      .Proof = Proof});
 }
 
 base::result<claims::claim_request>
@@ -65,7 +57,7 @@
 }
 
 command_result buildClaim(const Json::Value &Parameters,
-                          const build_context & /*Context*/) {
+                          const controlstate::token_proof & /*Proof*/) {
   BOOST_OUTCOME_TRY(Request, claimRequestOf(Parameters));
   return command_body(controlstate::claim_command{Request});
 }
@@ -85,7 +77,7 @@
 }
 
 command_result buildSettle(const Json::Value &Parameters,
-                           const build_context & /*Context*/) {
+                           const controlstate::token_proof & /*Proof*/) {
   BOOST_OUTCOME_TRY(Request, claimRequestOf(Parameters));
   BOOST_OUTCOME_TRY(End, claimEndOf(Parameters));
   controlstate::settle_command Settle{.Request = Request, .End = End};
@@ -101,7 +93,7 @@
 }
 
 command_result buildCrash(const Json::Value &Parameters,
-                          const build_context & /*Context*/) {
+                          const controlstate::token_proof & /*Proof*/) {
   BOOST_OUTCOME_TRY(Fingerprint, textParameter(Parameters, "fingerprint"));
   BOOST_OUTCOME_TRY(Target, textParameter(Parameters, "target"));
   BOOST_OUTCOME_TRY(Incarnation, textParameter(Parameters, "incarnation"));
@@ -214,10 +206,9 @@
 
 base::result<controlstate::command_body>
 commandOf(const std::string &Method, const Json::Value &Parameters,
-          const controlstate::control_state &State,
-          const std::string &AdministratorHash) {
-  using builder =
-      command_result (*)(const Json::Value &, const build_context &);
+          const controlstate::token_proof &Proof) {
+  using builder = command_result (*)(const Json::Value &,
+                                     const controlstate::token_proof &);
   static const std::map<std::string, builder> Builders = {
       {"document.edit", buildEdit}, {"data_centre.set", buildDataCentre},
       {"claim.claim", buildClaim},  {"claim.settle", buildSettle},
@@ -226,7 +217,14 @@
   const auto Found = Builders.find(Method);
   if (Found == Builders.end())
     return base::fail(base::error_kind::UnknownMethod, Method);
-  return Found->second(Parameters, {State, AdministratorHash});
+  return Found->second(Parameters, Proof);
+}
+
+std::string sectionOf(const std::string &Method,
+                      const Json::Value &Parameters) {
+  if (Method == "data_centre.set")
+    return "data-centre." + Parameters["name"].asString();
+  return Parameters["section"].asString();
 }
 
 base::result<Json::Value> resultOf(const controlstate::reply &Reply) {
--- a/programs/control/commandcodec.h
+++ b/programs/control/commandcodec.h
@@ -6,7 +6,6 @@
 
 #include "fulmar/base/result.h"
 #include "fulmar/controlstate/commands.h"
-#include "fulmar/controlstate/controlstate.h"
 #include "fulmar/controlstate/replies.h"
 
 #include <json/value.h>
@@ -25,8 +24,10 @@
 /// BadRequest, or UnknownMethod for a method that changes nothing.
 base::result<controlstate::command_body>
 commandOf(const std::string &Method, const Json::Value &Parameters,
-          const controlstate::control_state &State,
-          const std::string &AdministratorHash);
+          const controlstate::token_proof &Proof);
+
+/// The section whose owner decides on a call that carries a token.
+std::string sectionOf(const std::string &Method, const Json::Value &Parameters);
 
 /// The JSON of a reply, or the error that it carries.
 base::result<Json::Value> resultOf(const controlstate::reply &Reply);
--- a/programs/control/controltask.cpp
+++ b/programs/control/controltask.cpp
@@ -62,8 +62,11 @@
 
 rpc_result control_task::call(const std::string &Method,
                               const Json::Value &Parameters) {
+  const auto Proof = proveToken(Method, Parameters);
+  if (!Proof.has_value())
+    return Proof.error();
   const auto Responder = std::make_shared<base::reply_slot<rpc_result>>();
-  if (!Inbox.post(rpc_call{Method, Parameters, Responder}))
+  if (!Inbox.post(rpc_call{Method, Parameters, Responder, Proof.value()}))
     return base::fail(base::error_kind::Stopping, "instance is stopping");
   auto Answer = Responder->wait(AnswerWait);
   if (!Answer)
@@ -72,12 +75,33 @@
   return *Answer;
 }
 
+/// Hashing takes milliseconds, so that it is done on the caller's thread.
+base::result<controlstate::token_proof>
+control_task::proveToken(const std::string &Method,
+                         const Json::Value &Parameters) {
+  if (!Parameters.isObject() || !Parameters["token"].isString())
+    return controlstate::token_proof();
+  for (const char *Name : {"section", "name", "content"}) {
+    if (Parameters.isMember(Name) && !Parameters[Name].isString())
+      return base::fail(base::error_kind::BadRequest,
+                        std::string(Name) + ": expected a text");
+  }
+  const auto Hash = std::make_shared<base::reply_slot<std::string>>();
+  if (!Inbox.post(ask_required_hash{Method, Parameters, Hash}))
+    return base::fail(base::error_kind::Stopping, "instance is stopping");
+  const auto Required = Hash->wait(AnswerWait);
+  if (!Required)
+    return base::fail(base::error_kind::NoQuorum, "the instance is busy");
+  return controlstate::proveToken(Parameters["token"].asString(),
+                                  sectionOf(Method, Parameters), *Required);
+}
+
 void control_task::run() {
   while (!Stopping.load() && !Failed.load()) {
     const auto Messages = Inbox.takeAll(LoopWait);
     const base::instant Now = Clock.now();
     for (const task_message &Message : Messages)
-      take(Message, Now);
+      std::visit([this, Now](const auto &Item) { take(Item, Now); }, Message);
     Log->tick(Now);
     proposeDue(Now);
     carryOut(Log->flush(Now), Now);
@@ -86,19 +110,23 @@
   }
 }
 
-void control_task::take(const task_message &Message, base::instant Now) {
-  if (const auto *Call = std::get_if<rpc_call>(&Message))
-    onCall(*Call, Now);
-  else
-    onBeginStop(Now);
-}
-
-void control_task::onBeginStop(base::instant Now) {
+void control_task::take(const begin_stop & /*Stop*/, base::instant Now) {
   if (Leads.load())
     (void)Log->transferLeadership("", Now);
 }
 
-void control_task::onCall(const rpc_call &Call, base::instant Now) {
+void control_task::take(const ask_required_hash &Question,
+                        base::instant /*Now*/) {
+  const Json::Value &Parameters = Question.Parameters;
+  if (Question.Method == "data_centre.set")
+    return Question.Responder->set(
+        State.requiredHashOfDataCentre(Parameters["name"].asString()));
+  Question.Responder->set(State.requiredHash(Parameters["section"].asString(),
+                                             Parameters["content"].asString(),
+                                             Options.AdministratorHash));
+}
+
+void control_task::take(const rpc_call &Call, base::instant Now) {
   const auto Found = handlers().find(Call.Method);
   if (Found != handlers().end())
     return Call.Responder->set((this->*Found->second)(Call.Parameters, Now));
@@ -116,20 +144,24 @@
 void control_task::propose(const rpc_call &Call, base::instant Now) {
   if (!Leads.load())
     return Call.Responder->set(notLeader(Leader));
-  auto Body =
-      commandOf(Call.Method, Call.Parameters, State, Options.AdministratorHash);
+  auto Body = commandOf(Call.Method, Call.Parameters, Call.Proof);
   if (!Body.has_value())
     return Call.Responder->set(Body.error());
   const auto Ticket =
       Log->propose(controlstate::encodeCommand(
                        {.WallMs = wallMs(), .Body = std::move(Body).value()}),
                    Now);
+  answerWhenDone(Ticket, Call.Responder);
+}
+
+void control_task::answerWhenDone(const base::result<consensus::ticket> &Ticket,
+                                  const responder &Responder) {
   if (Ticket.has_value())
-    Waiting[Ticket.value()] = Call.Responder;
+    Waiting[Ticket.value()] = Responder;
   else if (Ticket.error().Kind == base::error_kind::NotLeader)
-    Call.Responder->set(notLeader(Ticket.error().Message));
+    Responder->set(notLeader(Ticket.error().Message));
   else
-    Call.Responder->set(Ticket.error());
+    Responder->set(Ticket.error());
 }
 
 void control_task::setVoters(const rpc_call &Call, base::instant Now) {
@@ -139,12 +171,7 @@
     return Call.Responder->set(Id.error());
   const auto Ticket =
       Adds ? Log->addVoter(Id.value(), Now) : Log->removeVoter(Id.value(), Now);
-  if (Ticket.has_value())
-    Waiting[Ticket.value()] = Call.Responder;
-  else if (Ticket.error().Kind == base::error_kind::NotLeader)
-    Call.Responder->set(notLeader(Ticket.error().Message));
-  else
-    Call.Responder->set(Ticket.error());
+  answerWhenDone(Ticket, Call.Responder);
 }
 
 void control_task::proposeQuietly(controlstate::command_body Body,
--- a/programs/control/controltask.h
+++ b/programs/control/controltask.h
@@ -55,10 +55,14 @@
   static const std::map<std::string, handler> &handlers();
 
   void run();
-  void take(const task_message &Message, base::instant Now);
-  void onCall(const rpc_call &Call, base::instant Now);
-  void onBeginStop(base::instant Now);
+  void take(const rpc_call &Call, base::instant Now);
+  void take(const ask_required_hash &Question, base::instant Now);
+  void take(const begin_stop &Stop, base::instant Now);
+  base::result<controlstate::token_proof>
+  proveToken(const std::string &Method, const Json::Value &Parameters);
   void propose(const rpc_call &Call, base::instant Now);
+  void answerWhenDone(const base::result<consensus::ticket> &Ticket,
+                      const responder &Responder);
   void proposeDue(base::instant Now);
   void proposeQuietly(controlstate::command_body Body, base::instant Now);
   void send(const consensus::outgoing_bytes &Message);
--- a/programs/control/rpcmessages.h
+++ b/programs/control/rpcmessages.h
@@ -5,6 +5,7 @@
 
 #include "fulmar/base/mailbox.h"
 #include "fulmar/base/result.h"
+#include "fulmar/controlstate/commands.h"
 
 #include <json/value.h>
 
@@ -23,12 +24,21 @@
   std::string Method;
   Json::Value Parameters;
   responder Responder;
+  /// What the RPC server's thread found out about the call's token.
+  controlstate::token_proof Proof;
+};
+
+/// Asks which hash a call's token has to match.
+struct ask_required_hash {
+  std::string Method;
+  Json::Value Parameters;
+  std::shared_ptr<base::reply_slot<std::string>> Responder;
 };
 
 /// The process was asked to stop: hand over leadership.
 struct begin_stop {};
 
-using task_message = std::variant<rpc_call, begin_stop>;
+using task_message = std::variant<rpc_call, ask_required_hash, begin_stop>;
 
 } // namespace fulmar::control
 
