One JSON form for replies and members, and regions that reach the tree

Cause: the control program wrote the same JSON as controlstate/jsonforms, and a member's region was dropped on its way through the log, so that the tree had one level less than meant. Ruled out: moving the forms into the program (fulmarctl's tests use them). Before: aReportKeepsItsRegionThroughJsonAndTheLog could not be written, for want of the field. After: it passes, with the tests of controlstate and ctl. Conclusion: members carry their region; control.status lists data centres.

--- a/modules/controlstate/include/fulmar/controlstate/commands.h
+++ b/modules/controlstate/include/fulmar/controlstate/commands.h
@@ -58,6 +58,8 @@
   std::string Id;
   std::string Incarnation;
   std::string DataCentre;
+  /// Empty when the instances are not grouped in regions.
+  std::string Region;
   /// IP:PORT for callers.
   std::string Address;
   std::string RpcAddress;
--- a/modules/controlstate/internal/commandpacking.h
+++ b/modules/controlstate/internal/commandpacking.h
@@ -20,8 +20,8 @@
                   Item.Proof);
 }
 inline auto fieldsOf(member_report &Item) {
-  return std::tie(Item.Id, Item.Incarnation, Item.DataCentre, Item.Address,
-                  Item.RpcAddress, Item.Stopping);
+  return std::tie(Item.Id, Item.Incarnation, Item.DataCentre, Item.Region,
+                  Item.Address, Item.RpcAddress, Item.Stopping);
 }
 inline auto fieldsOf(member_command &Item) { return std::tie(Item.Report); }
 inline auto fieldsOf(expire_command &Item) {
--- a/modules/controlstate/internal/jsonforms.cpp
+++ b/modules/controlstate/internal/jsonforms.cpp
@@ -74,6 +74,8 @@
   Json::Value Json;
   for (const auto &[Name, Member] : MemberTexts)
     Json[Name] = Report.*Member;
+  if (!Report.Region.empty())
+    Json["region"] = Report.Region;
   Json["stopping"] = Report.Stopping;
   return Json;
 }
@@ -88,6 +90,10 @@
                         std::string("a member needs the text ") + Name);
     Report.*Member = Json[Name].asString();
   }
+  if (Json.isMember("region") && !Json["region"].isString())
+    return base::fail(base::error_kind::BadRequest,
+                      "a member's region is a text");
+  Report.Region = Json["region"].asString();
   if (!Json["stopping"].isBool())
     return base::fail(base::error_kind::BadRequest,
                       "a member needs the boolean stopping");
--- a/modules/controlstate/tests/members_tests.cpp
+++ b/modules/controlstate/tests/members_tests.cpp
@@ -3,6 +3,7 @@
 #include "tests/statefixture.h"
 
 #include "fulmar/claims/holder.h"
+#include "fulmar/controlstate/jsonforms.h"
 #include "fulmar/testing/property.h"
 
 using namespace fulmar;
@@ -161,3 +162,20 @@
     Fixture.run(crash_command{fingerprint(Number), "t1", "1"});
   CHECK(!Published(0));
 }
+
+TEST_GROUP(MemberForms){};
+
+TEST(MemberForms, aReportKeepsItsRegionThroughJsonAndTheLog) {
+  const member_report Report{.Id = "entry-1",
+                             .Incarnation = "1",
+                             .DataCentre = "pos",
+                             .Region = "trinidad",
+                             .Address = "127.0.0.1:1",
+                             .RpcAddress = "127.0.0.1:2"};
+  CHECK(memberFromJson(toJson(Report)).value() == Report);
+  const command Join{.WallMs = 1, .Body = member_command{Report}};
+  CHECK(decodeCommand(encodeCommand(Join)).value() == Join);
+  Json::Value Wrong = toJson(Report);
+  Wrong["region"] = 5;
+  CHECK(!memberFromJson(Wrong).has_value());
+}
--- a/programs/control/commandcodec.cpp
+++ b/programs/control/commandcodec.cpp
@@ -2,6 +2,8 @@
 
 #include "commandcodec.h"
 
+#include "fulmar/controlstate/jsonforms.h"
+
 #include <map>
 
 namespace fulmar::control {
@@ -32,16 +34,12 @@
   BOOST_OUTCOME_TRY(Action, textParameter(Parameters, "action"));
   BOOST_OUTCOME_TRY(Author, textParameter(Parameters, "author"));
   BOOST_OUTCOME_TRYV(textParameter(Parameters, "token"));
-  if (Action != "leave" && Action != "return")
-    return base::fail(base::error_kind::BadRequest,
-                      "action = '" + Action + "': expected leave or return");
-  return command_body(controlstate::data_centre_command{
-      .Operation = Operation,
-      .Name = Name,
-      .Action = Action == "leave" ? controlstate::data_centre_action::Leave
-                                  : controlstate::data_centre_action::Return,
-      .Author = Author,
-      .Proof = Proof});
+  BOOST_OUTCOME_TRY(Change, controlstate::actionFrom(Action));
+  return command_body(controlstate::data_centre_command{.Operation = Operation,
+                                                        .Name = Name,
+                                                        .Action = Change,
+                                                        .Author = Author,
+                                                        .Proof = Proof});
 }
 
 base::result<claims::claim_request>
@@ -102,18 +100,6 @@
                                                   .Incarnation = Incarnation});
 }
 
-const char *nameOf(controlstate::edit_outcome Outcome) {
-  switch (Outcome) {
-  case controlstate::edit_outcome::Accepted:
-    return "accepted";
-  case controlstate::edit_outcome::Conflict:
-    return "conflict";
-  case controlstate::edit_outcome::Refused:
-    break;
-  }
-  return "refused";
-}
-
 const char *nameOf(claims::claim_state State) {
   switch (State) {
   case claims::claim_state::Granted:
@@ -137,24 +123,11 @@
   }
 
   json_result operator()(const controlstate::edit_reply &Reply) const {
-    Json::Value Json;
-    Json["outcome"] = nameOf(Reply.Outcome);
-    Json["revision"] = Json::UInt64(Reply.Revision);
-    Json["serial"] = Json::UInt64(Reply.Serial);
-    Json["message"] = Reply.Message;
-    Json["repeated"] = Reply.Repeated;
-    Json["in_force"]["number"] = Json::UInt64(Reply.InForceNumber);
-    Json["in_force"]["author"] = Reply.InForceAuthor;
-    Json["in_force"]["content"] = Reply.InForceContent;
-    return Json;
+    return controlstate::toJson(Reply);
   }
 
   json_result operator()(const controlstate::data_centre_reply &Reply) const {
-    Json::Value Json;
-    Json["serial"] = Json::UInt64(Reply.Serial);
-    Json["state"] = Reply.In ? "in" : "out";
-    Json["repeated"] = Reply.Repeated;
-    return Json;
+    return controlstate::toJson(Reply);
   }
 
   json_result operator()(const controlstate::member_reply &Reply) const {
@@ -175,10 +148,7 @@
   }
 
   json_result operator()(const controlstate::crash_reply &Reply) const {
-    Json::Value Json;
-    Json["crashes"] = Json::UInt64(Reply.Crashes);
-    Json["quarantined"] = Reply.Quarantined;
-    return Json;
+    return controlstate::toJson(Reply);
   }
 
   json_result operator()(const controlstate::failed_reply &Reply) const {
@@ -231,21 +201,4 @@
   return std::visit(reply_writer(), Reply);
 }
 
-base::result<controlstate::member_report> reportOf(const Json::Value &Json) {
-  BOOST_OUTCOME_TRY(Id, textParameter(Json, "id"));
-  BOOST_OUTCOME_TRY(Incarnation, textParameter(Json, "incarnation"));
-  BOOST_OUTCOME_TRY(DataCentre, textParameter(Json, "data_centre"));
-  BOOST_OUTCOME_TRY(Address, textParameter(Json, "address"));
-  BOOST_OUTCOME_TRY(RpcAddress, textParameter(Json, "rpc_address"));
-  if (!Json["stopping"].isBool())
-    return base::fail(base::error_kind::BadRequest,
-                      "stopping: expected true or false");
-  return controlstate::member_report{.Id = Id,
-                                     .Incarnation = Incarnation,
-                                     .DataCentre = DataCentre,
-                                     .Address = Address,
-                                     .RpcAddress = RpcAddress,
-                                     .Stopping = Json["stopping"].asBool()};
-}
-
 } // namespace fulmar::control
--- a/programs/control/commandcodec.h
+++ b/programs/control/commandcodec.h
@@ -32,9 +32,6 @@
 /// The JSON of a reply, or the error that it carries.
 base::result<Json::Value> resultOf(const controlstate::reply &Reply);
 
-/// A member's report as it travels in entry.sync.
-base::result<controlstate::member_report> reportOf(const Json::Value &Json);
-
 } // namespace fulmar::control
 
 #endif // FULMAR_PROGRAMS_CONTROL_COMMANDCODEC_H
--- a/programs/control/controlcalls.cpp
+++ b/programs/control/controlcalls.cpp
@@ -5,6 +5,8 @@
 
 #include "commandcodec.h"
 
+#include "fulmar/controlstate/jsonforms.h"
+
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
 #include <Poco/Exception.h>
@@ -122,13 +124,7 @@
   Json::Value Json;
   Json["edits"] = Json::Value(Json::arrayValue);
   for (const auto &Edit : State.edits().history(Section, Limit)) {
-    Json::Value Line;
-    Line["revision"] = Json::UInt64(Edit.Revision);
-    Line["serial"] = Json::UInt64(Edit.Serial);
-    Line["section"] = Edit.Section;
-    Line["number"] = Json::UInt64(Edit.Number);
-    Line["author"] = Edit.Author;
-    Json["edits"].append(std::move(Line));
+    Json["edits"].append(controlstate::toJson(Edit));
   }
   return Json;
 }
@@ -161,6 +157,9 @@
   Json["snapshot"] = Json::UInt64(Status.LastSnapshot);
   Json["serial"] = Json::UInt64(State.published().latest());
   Json["revision"] = Json::UInt64(State.edits().revision());
+  Json["data_centres"] = Json::Value(Json::objectValue);
+  for (const auto &[Name, DataCentre] : State.dataCentres().states())
+    Json["data_centres"][Name] = DataCentre.In ? "in" : "out";
   Json["formed"] = Status.Members.Formed;
   for (const consensus::member &Voter : Status.Members.Voters)
     Json["voters"].append(Voter.Id);
@@ -177,14 +176,7 @@
   Json["epoch"] = Json::UInt64(State.members().epoch());
   Json["members"] = Json::Value(Json::arrayValue);
   for (const auto &[Id, Report] : State.members().all()) {
-    Json::Value Member;
-    Member["id"] = Id;
-    Member["incarnation"] = Report.Incarnation;
-    Member["data_centre"] = Report.DataCentre;
-    Member["address"] = Report.Address;
-    Member["rpc_address"] = Report.RpcAddress;
-    Member["stopping"] = Report.Stopping;
-    Json["members"].append(std::move(Member));
+    Json["members"].append(controlstate::toJson(Report));
   }
   return Json;
 }
--- a/programs/control/memberkeeper.cpp
+++ b/programs/control/memberkeeper.cpp
@@ -4,6 +4,8 @@
 
 #include "commandcodec.h"
 
+#include "fulmar/controlstate/jsonforms.h"
+
 namespace fulmar::control {
 
 namespace {
@@ -22,7 +24,7 @@
                       "instances: expected a list");
   std::vector<held_report> Taken;
   for (const Json::Value &Instance : Instances) {
-    BOOST_OUTCOME_TRY(Report, reportOf(Instance));
+    BOOST_OUTCOME_TRY(Report, controlstate::memberFromJson(Instance));
     BOOST_OUTCOME_TRY(InForce, numberParameter(Instance, "serial"));
     BOOST_OUTCOME_TRY(AgeMs, numberParameter(Instance, "age_ms"));
     Taken.push_back({.Report = Report,
@@ -91,13 +93,7 @@
     const auto Age = Now - Held.MadeAt;
     if (Age > ForwardWindow)
       continue;
-    Json::Value Report;
-    Report["id"] = Held.Report.Id;
-    Report["incarnation"] = Held.Report.Incarnation;
-    Report["data_centre"] = Held.Report.DataCentre;
-    Report["address"] = Held.Report.Address;
-    Report["rpc_address"] = Held.Report.RpcAddress;
-    Report["stopping"] = Held.Report.Stopping;
+    Json::Value Report = controlstate::toJson(Held.Report);
     Report["serial"] = Json::UInt64(Held.InForce);
     Report["age_ms"] = Json::UInt64(
         std::chrono::duration_cast<std::chrono::milliseconds>(Age).count());
