--- /dev/null
+++ b/modules/consensus/tests/clusterhelpers.h
@@ -0,0 +1,39 @@
+// Steps that several tests of the replicated log share.
+
+#ifndef FULMAR_CONSENSUS_TESTS_CLUSTERHELPERS_H
+#define FULMAR_CONSENSUS_TESTS_CLUSTERHELPERS_H
+
+#include "cluster.h"
+
+namespace fulmar::consensus {
+
+inline const std::vector<replica_id> Three = {"a", "b", "c"};
+
+inline replica_id followerOf(cluster &Cluster) {
+  const replica_id Leader = Cluster.leader();
+  for (const replica_id &Id : Three) {
+    if (Id != Leader)
+      return Id;
+  }
+  return {};
+}
+
+inline replica_id thirdOf(const replica_id &First, const replica_id &Second) {
+  for (const replica_id &Id : Three) {
+    if (Id != First && Id != Second)
+      return Id;
+  }
+  return {};
+}
+
+inline void expectConvergence(cluster &Cluster, std::size_t Voters) {
+  Cluster.Cut.clear();
+  Cluster.Faults = {};
+  Cluster.waitWhole(Voters);
+  Cluster.accept(1);
+  Cluster.runUntil([&] { return Cluster.converged(); });
+}
+
+} // namespace fulmar::consensus
+
+#endif // FULMAR_CONSENSUS_TESTS_CLUSTERHELPERS_H
--- a/programs/load/loadreport.cpp
+++ b/programs/load/loadreport.cpp
@@ -80,13 +80,18 @@
 
 std::string load_report::toText(base::duration Elapsed) const {
   constexpr int NameWidth = 24;
+  constexpr int Decimals = 3;
   const Json::Value Table = toJson(Elapsed);
   std::ostringstream Text;
+  Text << std::fixed << std::setprecision(Decimals);
   for (const std::string &Name : Table.getMemberNames()) {
     if (Table[Name].isObject())
       for (const std::string &Error : Table[Name].getMemberNames())
         Text << std::left << std::setw(NameWidth) << "error " + Error
              << Table[Name][Error].asString() << "\n";
+    else if (Table[Name].isDouble() && !Table[Name].isIntegral())
+      Text << std::left << std::setw(NameWidth) << Name
+           << Table[Name].asDouble() << "\n";
     else
       Text << std::left << std::setw(NameWidth) << Name
            << Table[Name].asString() << "\n";
