--- a/modules/runtime/internal/program.cpp
+++ b/modules/runtime/internal/program.cpp
@@ -2,12 +2,11 @@
 
 #include "fulmar/runtime/program.h"
 
+#include "fulmar/runtime/usage.h"
 #include "fulmar/telemetry/log.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <algorithm>
 #include <csignal>
@@ -22,8 +21,6 @@
 
 namespace {
 
-constexpr const char *Version = "0.1.0";
-
 sigset_t stopSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
@@ -33,12 +30,7 @@
 }
 
 void parseFlags(int Argc, char **Argv, const program_description &Program) {
-  absl::SetProgramUsageMessage(Program.Usage);
-  absl::FlagsUsageConfig Usage;
-  Usage.version_string = [Name = Program.Name] {
-    return Name + " " + Version + "\n";
-  };
-  absl::SetFlagsUsageConfig(Usage);
+  setUsage(Program.Name, Program.Usage, "program.cpp");
   std::vector<std::string> Words = withUnderscores(Argc, Argv);
   std::vector<char *> Pointers;
   Pointers.reserve(Words.size());
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -2,10 +2,10 @@
 
 #include "loadrunner.h"
 
+#include "fulmar/runtime/usage.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <json/writer.h>
 
 #include <csignal>
@@ -60,11 +60,11 @@
 
 int main(int Argc, char **Argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  absl::SetProgramUsageMessage(
+  fulmar::runtime::setUsage(
+      "fulmar-load",
       "Sends a bounded load and checks each answer. Example: fulmar-load "
-      "--entries=127.0.0.1:8001 --service=registry --count=10000");
-  absl::SetFlagsUsageConfig(
-      {.version_string = [] { return std::string("fulmar-load 0.1.0\n"); }});
+      "--entries=127.0.0.1:8001 --service=registry --count=10000",
+      "main.cpp");
   absl::ParseCommandLine(Argc, Argv);
   const load_options Options = readOptions();
   if (Options.Entries.empty() && Options.Direct.empty()) {
--- a/programs/target/main.cpp
+++ b/programs/target/main.cpp
@@ -5,6 +5,8 @@
 #include "targetstate.h"
 #include "workhandler.h"
 
+#include "fulmar/runtime/usage.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServer.h>
@@ -12,8 +14,6 @@
 #include <Poco/ThreadPool.h>
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <csignal>
 #include <iostream>
@@ -145,11 +145,11 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  absl::SetProgramUsageMessage(
+  fulmar::runtime::setUsage(
+      "fulmar-target",
       "Stand-in target. Example: fulmar-target --id=r1 --service=registry "
-      "--listen=127.0.0.1:9001 --entries=127.0.0.1:8001");
-  absl::SetFlagsUsageConfig(
-      {.version_string = [] { return std::string("fulmar-target 0.1.0\n"); }});
+      "--listen=127.0.0.1:9001 --entries=127.0.0.1:8001",
+      "main.cpp");
   absl::ParseCommandLine(Argc, Argv);
   target_options Options;
   if (!readOptions(Options))
