--- a/cmake/fulmar.cmake
+++ b/cmake/fulmar.cmake
@@ -7,7 +7,9 @@
   fulmar_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow
                            -Wnon-virtual-dtor -Woverloaded-virtual
                            # Option structs rely on their members' defaults.
-                           -Wno-missing-field-initializers)
+                           -Wno-missing-field-initializers
+                           # GCC 12 reports std::string concatenation falsely.
+                           -Wno-restrict)
 if(FULMAR_WERROR)
   target_compile_options(fulmar_options INTERFACE -Werror)
 endif()
@@ -39,7 +41,7 @@
   target_link_libraries(fulmar_${NAME} ${SCOPE} ${ARG_LIBRARIES})
 
   file(GLOB TESTS CONFIGURE_DEPENDS tests/*.cpp)
-  if(TESTS)
+  if(TESTS AND FULMAR_TESTS)
     add_executable(${NAME}_tests ${TESTS})
     target_include_directories(${NAME}_tests
       PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
--- a/modules/controlstate/internal/variantpacking.h
+++ b/modules/claims/include/fulmar/claims/variantpacking.h
@@ -1,7 +1,7 @@
 // Encoding of variants as the array [index of the alternative, alternative].
 
-#ifndef FULMAR_CONTROLSTATE_VARIANTPACKING_H
-#define FULMAR_CONTROLSTATE_VARIANTPACKING_H
+#ifndef FULMAR_CLAIMS_VARIANTPACKING_H
+#define FULMAR_CLAIMS_VARIANTPACKING_H
 
 #include "fulmar/claims/packing.h"
 
@@ -10,7 +10,7 @@
 #include <utility>
 #include <variant>
 
-namespace fulmar::controlstate {
+namespace fulmar::claims {
 
 template <typename Packer, typename... Kinds>
 void packVariant(Packer &To, const std::variant<Kinds...> &Item) {
@@ -35,7 +35,7 @@
   return Decoders[Index](From.via.array.ptr[1]);
 }
 
-} // namespace fulmar::controlstate
+} // namespace fulmar::claims
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
@@ -44,7 +44,7 @@
   template <typename... Kinds> struct convert<std::variant<Kinds...>> {
     const msgpack::object &operator()(const msgpack::object &From,
                                       std::variant<Kinds...> &To) const {
-      To = fulmar::controlstate::variantFrom<Kinds...>(From);
+      To = fulmar::claims::variantFrom<Kinds...>(From);
       return From;
     }
   };
@@ -54,7 +54,7 @@
     msgpack::packer<Stream> &
     operator()(msgpack::packer<Stream> &To,
                const std::variant<Kinds...> &From) const {
-      fulmar::controlstate::packVariant(To, From);
+      fulmar::claims::packVariant(To, From);
       return To;
     }
   };
@@ -63,4 +63,4 @@
 }
 } // namespace msgpack
 
-#endif // FULMAR_CONTROLSTATE_VARIANTPACKING_H
+#endif // FULMAR_CLAIMS_VARIANTPACKING_H
--- /dev/null
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -0,0 +1,147 @@
+// One control instance on an event loop: the replicated log with its state,
+// the links to the other control instances and to the entries.
+
+#ifndef FULMAR_CONTROLNODE_CONTROLNODE_H
+#define FULMAR_CONTROLNODE_CONTROLNODE_H
+
+#include "fulmar/consensus/replicatedlog.h"
+#include "fulmar/controlnode/callqueue.h"
+#include "fulmar/controlnode/livenesstable.h"
+#include "fulmar/controlnode/voterkeeper.h"
+#include "fulmar/controlstate/controlstate.h"
+#include "fulmar/eventloop/framelink.h"
+#include "fulmar/fleetlink/linkmessages.h"
+#include "fulmar/journal/posixfilesystem.h"
+#include "fulmar/telemetry/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::controlnode {
+
+struct control_node_options {
+  /// IP:PORT of this instance's links; also its name in the log.
+  std::string LinkAddress;
+  std::string DataCentre;
+  std::string DataFolder;
+  /// The whole system starts for the first time.
+  bool Bootstrap = false;
+  /// Link addresses of the instances that are known at the start.
+  std::vector<std::string> Seeds;
+};
+
+class control_node {
+public:
+  control_node(eventloop::loop &OwningLoop, control_node_options Chosen,
+               telemetry::metrics &Registry);
+
+  base::result<void> start();
+  /// Hands leadership over; call \p Done when that is settled or takes too
+  /// long.
+  void handOver(std::function<void()> Done);
+  /// Further instances to keep links to.
+  void addSeeds(const std::vector<std::string> &Seeds);
+
+  using reply_handler = std::function<void(base::result<controlstate::reply>)>;
+  /// Carries a command out at the leader, within \p Limit.
+  void propose(controlstate::command_body Body, base::duration Limit,
+               reply_handler Handler);
+  /// The routing plan's document that a quorum confirms as the newest.
+  void readDocument(base::duration Limit, call_handler Handler);
+
+  /// A target reported here.
+  void heardTarget(const std::string &Id);
+
+  [[nodiscard]] const controlstate::control_state &state() const {
+    return State;
+  }
+  [[nodiscard]] std::vector<controlstate::member_report> readyEntries() const {
+    return Liveness.readyEntries(Loop.now());
+  }
+  /// The journal can't be trusted any more; the loop has been stopped.
+  [[nodiscard]] bool failed() const { return Failed; }
+  [[nodiscard]] consensus::log_status status() const {
+    return Log->status(Loop.now());
+  }
+
+private:
+  using link_ptr = std::shared_ptr<eventloop::frame_link>;
+  /// An accepted link, with the entry at its other end once that is known.
+  struct accepted_link {
+    link_ptr Link;
+    std::string EntryId;
+  };
+
+  void accept(const link_ptr &Link);
+  void onAcceptedFrame(const link_ptr &Link, std::string_view Frame);
+  void onDialedFrame(const std::string &Peer, std::string_view Frame);
+  void take(const link_ptr &Link, const fleetlink::entry_notice &Notice);
+  void take(const link_ptr &Link, const fleetlink::fetch_request &Request);
+  void take(const link_ptr &Link, const fleetlink::crash_notice &Notice);
+  void take(const link_ptr &Link, const fleetlink::log_message &Message);
+  void take(const link_ptr &Link, const fleetlink::join_request &Request);
+  void take(const link_ptr &Link, const fleetlink::call_request &Request);
+  void take(const link_ptr &Link, const fleetlink::call_reply &Reply);
+  void take(const link_ptr &Link, const fleetlink::liveness_notice &Notice);
+  /// Messages that only dialled links carry.
+  void take(const link_ptr & /*Link*/, const fleetlink::fetch_reply &) {}
+  void take(const link_ptr & /*Link*/, const fleetlink::log_notice &) {}
+
+  void dial(const std::string &Address);
+  void tick();
+  void scheduleFlush();
+  void flush();
+  void onRoleChange(const consensus::role_change &Change);
+  void finish(const consensus::completion &Completion);
+  void complete(std::vector<finished_call> Finished);
+  void tryCalls();
+  void tryCall(const due_call &Call);
+  /// Carries a call out here; \p Done may be called later.
+  void callHere(fleetlink::leader_call Call, std::string Command,
+                const call_handler &Done);
+  void sendTo(const std::string &Peer, fleetlink::link_message Message);
+  void announce();
+  void maintain();
+  void askForPlace();
+  void proposeQuietly(controlstate::command_body Body);
+  void fail(const base::error &Cause);
+  [[nodiscard]] fleetlink::log_notice notice() const;
+  [[nodiscard]] std::vector<std::string> controls() const;
+
+  eventloop::loop &Loop;
+  control_node_options Options;
+  telemetry::metrics &Metrics;
+  journal::posix_filesystem Files;
+  controlstate::control_state State;
+  std::unique_ptr<consensus::replicated_log> Log;
+  eventloop::frame_server Server;
+  std::map<std::string, std::unique_ptr<eventloop::frame_dialer>> Dialers;
+  std::map<eventloop::frame_link *, accepted_link> Accepted;
+
+  call_queue Calls;
+  liveness_table Liveness;
+  voter_keeper Voters;
+  /// Handlers of proposals and reads that the log has not finished.
+  std::map<consensus::ticket, call_handler> Waiting;
+
+  bool Leads = false;
+  std::string Leader;
+  /// Some peer with a fresh proof lists the members without this instance.
+  bool Unlisted = false;
+  publication::serial Announced = 0;
+  bool FlushScheduled = false;
+  bool Failed = false;
+  eventloop::timer Ticker;
+  eventloop::timer Announcer;
+  eventloop::timer Maintainer;
+  eventloop::timer HandOverLimit;
+  std::function<void()> HandedOver;
+};
+
+} // namespace fulmar::controlnode
+
+#endif // FULMAR_CONTROLNODE_CONTROLNODE_H
--- /dev/null
+++ b/modules/controlnode/internal/callqueue.cpp
@@ -0,0 +1,77 @@
+// Keeps the calls and when each is tried next.
+
+#include "fulmar/controlnode/callqueue.h"
+
+#include <utility>
+
+namespace fulmar::controlnode {
+
+namespace {
+
+/// Pause after a try that nobody could take.
+constexpr base::duration PostponeFor = std::chrono::milliseconds(50);
+
+} // namespace
+
+std::uint64_t call_queue::add(fleetlink::leader_call Call, std::string Command,
+                              base::instant Deadline, call_handler Handler) {
+  const std::uint64_t Id = NextId++;
+  Calls[Id] = {.Call = Call,
+               .Command = std::move(Command),
+               .Deadline = Deadline,
+               .DueAt = {},
+               .Handler = std::move(Handler)};
+  return Id;
+}
+
+std::vector<due_call> call_queue::takeDue(base::instant Now) {
+  std::vector<due_call> Due;
+  for (auto &[Id, Call] : Calls) {
+    if (Call.DueAt > Now)
+      continue;
+    Call.DueAt = Now + RetryAfter;
+    Due.push_back({Id, Call.Call, Call.Command});
+  }
+  return Due;
+}
+
+void call_queue::postpone(std::uint64_t Id, base::instant Now) {
+  const auto Found = Calls.find(Id);
+  if (Found != Calls.end())
+    Found->second.DueAt = Now + PostponeFor;
+}
+
+void call_queue::retryAll(base::instant Now) {
+  for (auto &[Id, Call] : Calls)
+    Call.DueAt = Now;
+}
+
+std::vector<finished_call> call_queue::finish(std::uint64_t Id,
+                                              call_result Result) {
+  std::vector<finished_call> Finished;
+  const auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return Finished;
+  Finished.push_back({std::move(Found->second.Handler), std::move(Result)});
+  Calls.erase(Found);
+  return Finished;
+}
+
+std::vector<finished_call> call_queue::expire(base::instant Now) {
+  std::vector<finished_call> Finished;
+  for (auto Entry = Calls.begin(); Entry != Calls.end();) {
+    if (Entry->second.Deadline > Now) {
+      ++Entry;
+      continue;
+    }
+    Finished.push_back(
+        {std::move(Entry->second.Handler),
+         base::fail(base::error_kind::NoQuorum,
+                    "no leader confirmed the call in time; its outcome is "
+                    "unknown")});
+    Entry = Calls.erase(Entry);
+  }
+  return Finished;
+}
+
+} // namespace fulmar::controlnode
--- /dev/null
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -0,0 +1,469 @@
+// The loop of a control instance: links, flushes of the log, announcements.
+
+#include "fulmar/controlnode/controlnode.h"
+
+#include "fulmar/telemetry/log.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace fulmar::controlnode {
+
+namespace {
+
+/// A quarter of the log's heartbeat, as it asks for.
+constexpr auto TickInterval = std::chrono::milliseconds(35);
+/// Three of these fit into the silence after which a peer reconnects.
+constexpr auto AnnounceInterval = std::chrono::milliseconds(400);
+constexpr auto MaintainInterval = std::chrono::milliseconds(500);
+/// Time that a call of this instance's own may take.
+constexpr auto OwnCallLimit = std::chrono::seconds(2);
+/// Leadership that is not taken over within this is left to an election.
+constexpr auto HandOverWait = std::chrono::milliseconds(1'500);
+/// A peer whose proof is older says nothing about the present members.
+constexpr std::int64_t FreshProofMs = 1'000;
+
+std::int64_t wallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+consensus::replicated_log_options
+logOptions(const control_node_options &Options) {
+  consensus::replicated_log_options Log{.Folder = Options.DataFolder};
+  Log.Replica.Id = Options.LinkAddress;
+  const auto &Seeds = Options.Seeds;
+  const bool IsSeed =
+      std::find(Seeds.begin(), Seeds.end(), Options.LinkAddress) != Seeds.end();
+  Log.Replica.Bootstrap = Options.Bootstrap && IsSeed;
+  Log.Replica.InitialVoters = Seeds;
+  std::random_device Device;
+  Log.Replica.Seed = (std::uint64_t(Device()) << 32U) | Device();
+  return Log;
+}
+
+} // namespace
+
+control_node::control_node(eventloop::loop &OwningLoop,
+                           control_node_options Chosen,
+                           telemetry::metrics &Registry)
+    : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
+      Server(Loop), Ticker(Loop), Announcer(Loop), Maintainer(Loop),
+      HandOverLimit(Loop) {}
+
+base::result<void> control_node::start() {
+  BOOST_OUTCOME_TRY(Opened,
+                    consensus::replicated_log::open(logOptions(Options), Files,
+                                                    State, Loop.now()));
+  Log = std::move(Opened);
+  BOOST_OUTCOME_TRYV(
+      Server.start(Options.LinkAddress,
+                   [this](const link_ptr &Link) { accept(Link); }));
+  addSeeds(Options.Seeds);
+  Ticker.every(TickInterval, [this] { tick(); });
+  Announcer.every(AnnounceInterval, [this] { announce(); });
+  Maintainer.every(MaintainInterval, [this] { maintain(); });
+  const consensus::log_status Status = Log->status(Loop.now());
+  telemetry::logChange(telemetry::log_level::Info, "control", "log-opened",
+                       {{"applied", std::to_string(Status.Applied)},
+                        {"last", std::to_string(Status.LastIndex)},
+                        {"plan", std::to_string(State.plan().version())},
+                        {"storage", Status.StorageId}});
+  scheduleFlush();
+  return base::success();
+}
+
+void control_node::handOver(std::function<void()> Done) {
+  HandedOver = std::move(Done);
+  const bool Begun =
+      Leads && Log->transferLeadership("", Loop.now()).has_value();
+  scheduleFlush();
+  HandOverLimit.after(Begun ? base::duration(HandOverWait) : base::duration(),
+                      [this] {
+                        if (const auto Call = std::exchange(HandedOver, {}))
+                          Call();
+                      });
+}
+
+void control_node::addSeeds(const std::vector<std::string> &Seeds) {
+  for (const std::string &Seed : Seeds)
+    dial(Seed);
+}
+
+void control_node::propose(controlstate::command_body Body,
+                           base::duration Limit, reply_handler Handler) {
+  Calls.add(fleetlink::leader_call::Propose,
+            controlstate::encodeCommand(
+                {.WallMs = wallMs(), .Body = std::move(Body)}),
+            Loop.now() + Limit,
+            [Handler = std::move(Handler)](const call_result &Result) {
+              if (!Result)
+                return Handler(Result.error());
+              auto Reply = controlstate::decodeReply(Result.value());
+              if (!Reply)
+                return Handler(Reply.error());
+              const auto *Refusal =
+                  std::get_if<controlstate::failed_reply>(&Reply.value());
+              if (Refusal != nullptr)
+                return Handler(Refusal->Error);
+              Handler(std::move(Reply).value());
+            });
+  tryCalls();
+}
+
+void control_node::readDocument(base::duration Limit, call_handler Handler) {
+  Calls.add(fleetlink::leader_call::ReadDocument, {}, Loop.now() + Limit,
+            std::move(Handler));
+  tryCalls();
+}
+
+void control_node::heardTarget(const std::string &Id) {
+  Liveness.heardTarget(Id, Loop.now());
+}
+
+void control_node::accept(const link_ptr &Link) {
+  Accepted[Link.get()] = {Link, {}};
+  Link->start(
+      [this, Raw = Link.get()](std::string_view Frame) {
+        const auto Found = Accepted.find(Raw);
+        if (Found != Accepted.end())
+          onAcceptedFrame(Found->second.Link, Frame);
+      },
+      [this, Raw = Link.get()] {
+        const auto Found = Accepted.find(Raw);
+        if (Found == Accepted.end())
+          return;
+        if (!Found->second.EntryId.empty())
+          Liveness.lostEntry(Found->second.EntryId);
+        Accepted.erase(Found);
+      });
+  Link->send(fleetlink::encodeLink(notice()));
+}
+
+void control_node::onAcceptedFrame(const link_ptr &Link,
+                                   std::string_view Frame) {
+  const auto Message = fleetlink::decodeLink(Frame);
+  if (!Message) {
+    telemetry::logChange(telemetry::log_level::Warning, "control",
+                         "link-malformed",
+                         {{"error", Message.error().Message}});
+    return Link->close();
+  }
+  std::visit([&](const auto &Body) { take(Link, Body); }, Message.value());
+}
+
+void control_node::onDialedFrame(const std::string &Peer,
+                                 std::string_view Frame) {
+  const auto Message = fleetlink::decodeLink(Frame);
+  if (!Message)
+    return;
+  const auto *Notice = std::get_if<fleetlink::log_notice>(&Message.value());
+  if (Notice == nullptr)
+    return;
+  Voters.heard(Peer, Loop.now());
+  for (const std::string &Address : Notice->Controls)
+    dial(Address);
+  const auto &Listed = Notice->Controls;
+  if (Notice->ProofAgeMs >= 0 && Notice->ProofAgeMs <= FreshProofMs)
+    Unlisted = std::find(Listed.begin(), Listed.end(), Options.LinkAddress) ==
+               Listed.end();
+}
+
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::entry_notice &Notice) {
+  accepted_link &Held = Accepted[Link.get()];
+  if (Held.EntryId.empty())
+    telemetry::logChange(telemetry::log_level::Info, "control",
+                         "entry-connected", {{"entry", Notice.Report.Id}});
+  Held.EntryId = Notice.Report.Id;
+  Liveness.heardEntry(Notice, Loop.now());
+}
+
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::fetch_request &Request) {
+  Link->send(fleetlink::encodeLink(fleetlink::fetch_reply{
+      State.published().changesSince(Request.Since)}));
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::crash_notice &Notice) {
+  proposeQuietly(Notice.Crash);
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::log_message &Message) {
+  Voters.heard(Message.From, Loop.now());
+  Log->deliver(Message.From, Message.Bytes, Loop.now());
+  dial(Message.From);
+  scheduleFlush();
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::join_request &Request) {
+  dial(Request.Id);
+  if (!Leads)
+    return;
+  const base::instant Now = Loop.now();
+  const auto Change = Voters.onJoinRequest(
+      Request.Id, Log->status(Now).Members, Options.LinkAddress, Now);
+  if (!Change)
+    return;
+  const bool Adds = Change->Kind == voter_change::kind::Add;
+  const auto Begun = Adds ? Log->addVoter(Change->Id, Now)
+                          : Log->removeVoter(Change->Id, Now);
+  telemetry::logChange(
+      telemetry::log_level::Info, "control",
+      Adds ? "voter-added" : "voter-removed",
+      {{"instance", Change->Id},
+       {"for", Request.Id},
+       {"outcome", Begun ? "begun" : Begun.error().Message}});
+  scheduleFlush();
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::call_request &Request) {
+  callHere(Request.Call, Request.Command,
+           [this, From = Request.From,
+            Id = Request.Id](const call_result &Result) {
+             fleetlink::call_reply Reply{.Id = Id,
+                                         .Succeeded = Result.has_value()};
+             if (Result) {
+               Reply.Reply = Result.value();
+             } else {
+               Reply.ErrorKind =
+                   static_cast<std::uint32_t>(Result.error().Kind);
+               Reply.Message = Result.error().Message;
+             }
+             sendTo(From, std::move(Reply));
+           });
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::call_reply &Reply) {
+  if (Reply.Succeeded)
+    return complete(Calls.finish(Reply.Id, Reply.Reply));
+  Calls.postpone(Reply.Id, Loop.now());
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::liveness_notice &Notice) {
+  for (const std::string &Id : Notice.Targets)
+    Liveness.heardTarget(Id, Loop.now());
+}
+
+void control_node::dial(const std::string &Address) {
+  if (Address.empty() || Address == Options.LinkAddress ||
+      Dialers.contains(Address))
+    return;
+  Dialers[Address] = std::make_unique<eventloop::frame_dialer>(
+      Loop, eventloop::frame_dialer::options{.Address = Address},
+      eventloop::frame_dialer::handlers{
+          .Connected =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Info, "control",
+                                     "peer-connected", {{"peer", Address}});
+                Calls.retryAll(Loop.now());
+              },
+          .Frame =
+              [this, Address](std::string_view Frame) {
+                onDialedFrame(Address, Frame);
+              },
+          .Lost =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Warning, "control",
+                                     "peer-lost", {{"peer", Address}});
+              }});
+}
+
+void control_node::sendTo(const std::string &Peer,
+                          fleetlink::link_message Message) {
+  const auto Found = Dialers.find(Peer);
+  if (Found != Dialers.end())
+    Found->second->send(fleetlink::encodeLink(Message));
+}
+
+void control_node::tick() {
+  Log->tick(Loop.now());
+  flush();
+  complete(Calls.expire(Loop.now()));
+  tryCalls();
+}
+
+void control_node::scheduleFlush() {
+  if (FlushScheduled)
+    return;
+  FlushScheduled = true;
+  Loop.post([this] {
+    FlushScheduled = false;
+    flush();
+  });
+}
+
+void control_node::flush() {
+  consensus::outputs Outputs = Log->flush(Loop.now());
+  if (Outputs.Fatal)
+    return fail(*Outputs.Fatal);
+  for (consensus::outgoing_bytes &Message : Outputs.Messages) {
+    dial(Message.To);
+    sendTo(Message.To, fleetlink::log_message{Options.LinkAddress,
+                                              std::move(Message.Bytes)});
+  }
+  for (const consensus::role_change &Change : Outputs.RoleChanges)
+    onRoleChange(Change);
+  for (const consensus::completion &Completion : Outputs.Completions)
+    finish(Completion);
+  if (State.published().latest() != Announced)
+    announce();
+}
+
+void control_node::onRoleChange(const consensus::role_change &Change) {
+  const bool LeadsNow = Change.Role == consensus::role::Leader;
+  if (LeadsNow && !Leads) {
+    Liveness.becomeLeader(Loop.now());
+    Voters.becomeLeader(Loop.now());
+  }
+  Leads = LeadsNow;
+  Leader = Change.Leader;
+  telemetry::logChange(telemetry::log_level::Info, "control", "role-changed",
+                       {{"role", consensus::nameOf(Change.Role)},
+                        {"term", std::to_string(Change.Term)},
+                        {"leader", Change.Leader}});
+  Metrics.gaugeOf("fulmar_control_is_leader").set(Leads ? 1 : 0);
+  if (!Leader.empty())
+    Calls.retryAll(Loop.now());
+  if (!Leads && HandedOver) {
+    HandOverLimit.cancel();
+    Loop.post(std::exchange(HandedOver, {}));
+  }
+}
+
+void control_node::finish(const consensus::completion &Completion) {
+  const auto Found = Waiting.find(Completion.Ticket);
+  if (Found == Waiting.end())
+    return;
+  const call_handler Handler = std::move(Found->second);
+  Waiting.erase(Found);
+  if (Completion.Error)
+    Handler(*Completion.Error);
+  else
+    Handler(Completion.Reply);
+}
+
+void control_node::complete(std::vector<finished_call> Finished) {
+  for (finished_call &Call : Finished)
+    Call.Handler(std::move(Call.Result));
+}
+
+void control_node::tryCalls() {
+  for (const due_call &Call : Calls.takeDue(Loop.now()))
+    tryCall(Call);
+}
+
+void control_node::tryCall(const due_call &Call) {
+  if (!Leads) {
+    if (Leader.empty())
+      return Calls.postpone(Call.Id, Loop.now());
+    return sendTo(Leader, fleetlink::call_request{.From = Options.LinkAddress,
+                                                  .Id = Call.Id,
+                                                  .Call = Call.Call,
+                                                  .Command = Call.Command});
+  }
+  callHere(Call.Call, Call.Command, [this, Id = Call.Id](call_result Result) {
+    if (Result)
+      return complete(Calls.finish(Id, std::move(Result)));
+    Calls.postpone(Id, Loop.now());
+  });
+}
+
+void control_node::callHere(fleetlink::leader_call Call, std::string Command,
+                            const call_handler &Done) {
+  const bool Reads = Call == fleetlink::leader_call::ReadDocument;
+  const auto Ticket = Reads ? Log->read(Loop.now())
+                            : Log->propose(std::move(Command), Loop.now());
+  if (!Ticket)
+    return Done(Ticket.error());
+  Waiting[Ticket.value()] = [this, Reads, Done](const call_result &Result) {
+    Done(Result && Reads ? call_result(State.plan().held().Document) : Result);
+  };
+  scheduleFlush();
+}
+
+std::vector<std::string> control_node::controls() const {
+  std::vector<std::string> Addresses;
+  const consensus::configuration Members = Log->status(Loop.now()).Members;
+  for (const auto *Held : {&Members.Voters, &Members.Learners}) {
+    for (const consensus::member &Member : *Held)
+      Addresses.push_back(Member.Id);
+  }
+  return Addresses;
+}
+
+fleetlink::log_notice control_node::notice() const {
+  const auto Age = Log->proofAge(Loop.now());
+  return {.Latest = State.published().latest(),
+          .DataCentre = Options.DataCentre,
+          .ProofAgeMs =
+              Age ? std::chrono::duration_cast<std::chrono::milliseconds>(*Age)
+                        .count()
+                  : -1,
+          .Controls = controls()};
+}
+
+void control_node::announce() {
+  Announced = State.published().latest();
+  const std::string Notice = fleetlink::encodeLink(notice());
+  // Sending may close a link, which changes the map.
+  std::vector<link_ptr> Links;
+  for (const auto &[Raw, Held] : Accepted)
+    Links.push_back(Held.Link);
+  for (const link_ptr &Link : Links)
+    Link->send(Notice);
+}
+
+void control_node::maintain() {
+  askForPlace();
+  Metrics.gaugeOf("fulmar_control_journal_bytes")
+      .set(static_cast<std::int64_t>(Log->journalBytes()));
+  Metrics.gaugeOf("fulmar_control_plan_version")
+      .set(static_cast<std::int64_t>(State.plan().version()));
+  if (!Leads) {
+    auto Heard = Liveness.takeHeardTargets();
+    if (!Heard.empty())
+      sendTo(Leader, fleetlink::liveness_notice{std::move(Heard)});
+    return;
+  }
+  for (controlstate::command_body &Body :
+       Liveness.dueCommands(State, Loop.now()))
+    proposeQuietly(std::move(Body));
+}
+
+void control_node::askForPlace() {
+  const auto Listed = controls();
+  const bool Missing = std::find(Listed.begin(), Listed.end(),
+                                 Options.LinkAddress) == Listed.end();
+  if (!Missing && !Unlisted)
+    return;
+  for (const auto &[Peer, Dialer] : Dialers)
+    sendTo(Peer, fleetlink::join_request{Options.LinkAddress});
+}
+
+void control_node::proposeQuietly(controlstate::command_body Body) {
+  propose(std::move(Body), OwnCallLimit,
+          [](const base::result<controlstate::reply> &Reply) {
+            if (!Reply)
+              telemetry::logChange(telemetry::log_level::Warning, "control",
+                                   "command-failed",
+                                   {{"error", Reply.error().Message}});
+          });
+}
+
+void control_node::fail(const base::error &Cause) {
+  telemetry::logChange(telemetry::log_level::Error, "control", "log-failed",
+                       {{"error", Cause.Message}});
+  Failed = true;
+  Loop.stop();
+}
+
+} // namespace fulmar::controlnode
--- /dev/null
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -0,0 +1,96 @@
+// Leases of targets and entries.
+
+#include "fulmar/controlnode/livenesstable.h"
+
+#include <algorithm>
+
+namespace fulmar::controlnode {
+
+namespace {
+
+/// Pause before the same command is proposed again.
+constexpr base::duration ProposalPause = std::chrono::seconds(1);
+
+} // namespace
+
+void liveness_table::heardTarget(const std::string &Id, base::instant Now) {
+  Targets[Id] = Now;
+  HeardTargets.push_back(Id);
+}
+
+void liveness_table::heardEntry(const fleetlink::entry_notice &Notice,
+                                base::instant Now) {
+  Entries[Notice.Report.Id] = {Notice, Now, true};
+}
+
+void liveness_table::lostEntry(const std::string &Id) {
+  const auto Found = Entries.find(Id);
+  if (Found != Entries.end())
+    Found->second.Connected = false;
+}
+
+std::vector<std::string> liveness_table::takeHeardTargets() {
+  std::sort(HeardTargets.begin(), HeardTargets.end());
+  HeardTargets.erase(std::unique(HeardTargets.begin(), HeardTargets.end()),
+                     HeardTargets.end());
+  return std::exchange(HeardTargets, {});
+}
+
+bool liveness_table::proposedLately(const std::string &Key,
+                                    base::instant Now) {
+  const auto Found = ProposedAt.find(Key);
+  if (Found != ProposedAt.end() && Now - Found->second < ProposalPause)
+    return true;
+  ProposedAt[Key] = Now;
+  return false;
+}
+
+std::vector<controlstate::command_body>
+liveness_table::dueCommands(const controlstate::control_state &State,
+                            base::instant Now) {
+  std::erase_if(ProposedAt, [Now](const auto &Proposal) {
+    return Now - Proposal.second >= ProposalPause;
+  });
+  std::vector<controlstate::command_body> Due;
+  for (const auto &[Id, Held] : State.targets().all()) {
+    if (Held.Phase == fleet::target_phase::Left)
+      continue;
+    const auto Heard = Targets.find(Id);
+    const base::instant Last = std::max(
+        LeaderSince, Heard == Targets.end() ? LeaderSince : Heard->second);
+    if (Now - Last > TargetLease && !proposedLately("target/" + Id, Now))
+      Due.emplace_back(controlstate::target_expired_command{
+          Id, Held.StartedAtMs, Held.Sequence});
+  }
+  const auto &Members = State.members().all();
+  for (const auto &[Id, Entry] : Entries) {
+    const auto Held = Members.find(Id);
+    const bool Known =
+        Held != Members.end() && Held->second == Entry.Notice.Report;
+    if (!Known && Now - Entry.At <= EntrySilence &&
+        !proposedLately("entry/" + Id, Now))
+      Due.emplace_back(controlstate::member_command{Entry.Notice.Report});
+  }
+  for (const auto &[Id, Report] : Members) {
+    const auto Heard = Entries.find(Id);
+    const base::instant Last = std::max(
+        LeaderSince, Heard == Entries.end() ? LeaderSince : Heard->second.At);
+    if (Now - Last > EntryLease && !proposedLately("expire/" + Id, Now))
+      Due.emplace_back(
+          controlstate::expire_command{Id, Report.Incarnation});
+  }
+  return Due;
+}
+
+std::vector<controlstate::member_report>
+liveness_table::readyEntries(base::instant Now) const {
+  std::vector<controlstate::member_report> Ready;
+  for (const auto &[Id, Entry] : Entries) {
+    if (Entry.Connected && Entry.Notice.Ready && !Entry.Notice.Report.Stopping &&
+        Now - Entry.At <= EntrySilence)
+      Ready.push_back(Entry.Notice.Report);
+  }
+  return Ready;
+}
+
+} // namespace fulmar::controlnode
--- /dev/null
+++ b/modules/controlnode/internal/voterkeeper.cpp
@@ -0,0 +1,41 @@
+// Admits newcomers and replaces voters that are gone.
+
+#include "fulmar/controlnode/voterkeeper.h"
+
+#include <algorithm>
+
+namespace fulmar::controlnode {
+
+bool voter_keeper::isSilent(const std::string &Id, base::instant Now) const {
+  const auto Found = HeardAt.find(Id);
+  const base::instant Last =
+      std::max(LeaderSince, Found == HeardAt.end() ? LeaderSince : Found->second);
+  return Now - Last > DeadVoterLimit;
+}
+
+std::optional<voter_change>
+voter_keeper::onJoinRequest(const std::string &Newcomer,
+                            const consensus::configuration &Members,
+                            const std::string &Self, base::instant Now) const {
+  const auto Is = [](const std::string &Id) {
+    return [&Id](const consensus::member &Member) { return Member.Id == Id; };
+  };
+  const auto &Voters = Members.Voters;
+  const auto &Learners = Members.Learners;
+  if (!Members.Formed ||
+      std::any_of(Voters.begin(), Voters.end(), Is(Newcomer)) ||
+      std::any_of(Learners.begin(), Learners.end(), Is(Newcomer)))
+    return std::nullopt;
+  // Learners are about to vote.
+  for (const auto *Held : {&Learners, &Voters}) {
+    for (const consensus::member &Member : *Held) {
+      if (Member.Id != Self && isSilent(Member.Id, Now))
+        return voter_change{voter_change::kind::Remove, Member.Id};
+    }
+  }
+  if (Voters.size() + Learners.size() >= MaxVoters)
+    return std::nullopt;
+  return voter_change{voter_change::kind::Add, Newcomer};
+}
+
+} // namespace fulmar::controlnode
--- a/modules/controlstate/internal/commandpacking.h
+++ b/modules/controlstate/include/fulmar/controlstate/commandpacking.h
@@ -5,6 +5,7 @@
 
 #include "fulmar/claims/claimpacking.h"
 #include "fulmar/controlstate/commands.h"
+#include "fulmar/fleet/fleetpacking.h"
 
 namespace fulmar::controlstate {
 
@@ -35,6 +36,16 @@
   return std::tie(Item.Fingerprint, Item.Target, Item.Incarnation);
 }
 inline auto fieldsOf(advance_command & /*Item*/) { return std::tie(); }
+inline auto fieldsOf(plan_command &Item) {
+  return std::tie(Item.Version, Item.Plan, Item.Document);
+}
+inline auto fieldsOf(target_command &Item) { return std::tie(Item.Report); }
+inline auto fieldsOf(target_left_command &Item) {
+  return std::tie(Item.Id, Item.StartedAtMs);
+}
+inline auto fieldsOf(target_expired_command &Item) {
+  return std::tie(Item.Id, Item.StartedAtMs, Item.Sequence);
+}
 constexpr data_centre_action lastOf(data_centre_action /*Kind*/) {
   return data_centre_action::Return;
 }
--- a/modules/controlstate/include/fulmar/controlstate/commands.h
+++ b/modules/controlstate/include/fulmar/controlstate/commands.h
@@ -5,6 +5,7 @@
 
 #include "fulmar/base/result.h"
 #include "fulmar/claims/iclaimkeeper.h"
+#include "fulmar/fleet/targetreport.h"
 
 #include <compare>
 #include <cstdint>
@@ -19,7 +20,8 @@
 /// log: the leader hashes it, and the state compares the hash when it applies
 /// the command.
 struct token_proof {
-  /// The token is the administrator's of the leader's settings.
+  /// The token is the administrator's of the leader's settings, or the order
+  /// came through an interface that only operators reach.
   bool Administrator = false;
   /// Hash of the token with the owning team's salt.
   std::string Hash;
@@ -121,10 +123,53 @@
                           const advance_command &) = default;
 };
 
+/// Replaces the routing plan; ignored unless its version is above the one in
+/// force.
+struct plan_command {
+  std::uint64_t Version = 0;
+  /// Written by fleet::encodePlan().
+  std::string Plan;
+  /// The document as the operator sent it, for reading back.
+  std::string Document;
+
+  friend auto operator<=>(const plan_command &, const plan_command &) = default;
+};
+
+/// A target is new or its report has changed.
+struct target_command {
+  fleet::target_report Report;
+
+  friend auto operator<=>(const target_command &,
+                          const target_command &) = default;
+};
+
+/// A target has left; that run of it does not come back.
+struct target_left_command {
+  std::string Id;
+  /// The run that left; whichever is held when 0. Ignored when a later run is
+  /// held.
+  std::int64_t StartedAtMs = 0;
+
+  friend auto operator<=>(const target_left_command &,
+                          const target_left_command &) = default;
+};
+
+/// A target has not reported for too long and is forgotten until it does.
+/// Ignored when its held report is another one.
+struct target_expired_command {
+  std::string Id;
+  std::int64_t StartedAtMs = 0;
+  std::uint64_t Sequence = 0;
+
+  friend auto operator<=>(const target_expired_command &,
+                          const target_expired_command &) = default;
+};
+
 using command_body =
     std::variant<edit_command, data_centre_command, member_command,
                  expire_command, claim_command, settle_command, crash_command,
-                 advance_command>;
+                 advance_command, plan_command, target_command,
+                 target_left_command, target_expired_command>;
 
 struct command {
   /// The leader's wall clock. The replicated clock never goes back and
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -11,11 +11,14 @@
 #include "fulmar/controlstate/datacentretable.h"
 #include "fulmar/controlstate/editlog.h"
 #include "fulmar/controlstate/membertable.h"
+#include "fulmar/controlstate/plantable.h"
 #include "fulmar/controlstate/replies.h"
+#include "fulmar/controlstate/targettable.h"
 #include "fulmar/document/controlpolicy.h"
 #include "fulmar/publication/publisheditems.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -46,6 +49,8 @@
     return DataCentres;
   }
   [[nodiscard]] const member_table &members() const { return Members; }
+  [[nodiscard]] const plan_table &plan() const { return Plan; }
+  [[nodiscard]] const target_table &targets() const { return Targets; }
   [[nodiscard]] const publication::published_items &published() const {
     return Published;
   }
@@ -79,6 +84,10 @@
   reply applyBody(const settle_command &Settle);
   reply applyBody(const crash_command &Crash);
   reply applyBody(const advance_command &Advance);
+  reply applyBody(const plan_command &Replacement);
+  reply applyBody(const target_command &Reported);
+  reply applyBody(const target_left_command &Departure);
+  reply applyBody(const target_expired_command &Expiry);
 
   void advanceClock(std::int64_t WallMs);
   void readPolicy();
@@ -87,11 +96,15 @@
   void publishDataCentre(const std::string &Name);
   void publishMember(const std::string &Id);
   void publishQuarantines();
+  void publishTarget(const std::string &Id);
 
   /// Hash of a team's token in force; empty when there is no such team.
   [[nodiscard]] std::string hashOf(const std::string &Team) const;
   [[nodiscard]] bool ownsHash(const std::string &Team,
                               const token_proof &Proof) const;
+  /// Why the token does not allow \p Operation; empty when it does.
+  [[nodiscard]] std::optional<reply>
+  refusalOf(const data_centre_command &Operation) const;
   [[nodiscard]] bool mayEdit(const edit_command &Edit) const;
 
   /// Log index of the command being applied, or of the last one.
@@ -103,6 +116,8 @@
   member_table Members;
   claims::claim_table Claims;
   crash_table Crashes;
+  plan_table Plan;
+  target_table Targets;
   /// Always equal to what the tables above hold.
   publication::published_items Published;
   /// The section policy.control in force, or the defaults.
--- a/modules/controlstate/include/fulmar/controlstate/replies.h
+++ b/modules/controlstate/include/fulmar/controlstate/replies.h
@@ -72,6 +72,22 @@
   friend auto operator<=>(const done_reply &, const done_reply &) = default;
 };
 
+struct plan_reply {
+  /// Version in force after the command.
+  std::uint64_t Version = 0;
+  /// False when a version that is at least as high was in force.
+  bool Changed = false;
+
+  friend auto operator<=>(const plan_reply &, const plan_reply &) = default;
+};
+
+struct target_reply {
+  /// False when a newer report was held.
+  bool Changed = false;
+
+  friend auto operator<=>(const target_reply &, const target_reply &) = default;
+};
+
 /// The command changed nothing.
 struct failed_reply {
   base::error Error;
@@ -81,7 +97,8 @@
 
 using reply =
     std::variant<done_reply, edit_reply, data_centre_reply, member_reply,
-                 claim_reply, crash_reply, failed_reply>;
+                 claim_reply, crash_reply, failed_reply, plan_reply,
+                 target_reply>;
 
 std::string encodeReply(const reply &Reply);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/controlstate/internal/commands.cpp
+++ b/modules/controlstate/internal/commands.cpp
@@ -2,8 +2,8 @@
 
 #include "fulmar/controlstate/commands.h"
 
-#include "commandpacking.h"
-#include "variantpacking.h"
+#include "fulmar/controlstate/commandpacking.h"
+#include "fulmar/claims/variantpacking.h"
 
 namespace fulmar::controlstate {
 
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -104,6 +104,17 @@
       return failed_reply{Answer->error()};
     return Answer->value();
   }
+  if (!Operation.Proof.Administrator) {
+    if (const auto Refusal = refusalOf(Operation))
+      return *Refusal;
+  }
+  const data_centre_reply Reply = DataCentres.apply(Index, Operation);
+  publishDataCentre(Operation.Name);
+  return Reply;
+}
+
+std::optional<reply>
+control_state::refusalOf(const data_centre_command &Operation) const {
   const std::string Section =
       std::string(document::DataCentrePrefix) + Operation.Name;
   if (Edits.inForce().find(Section) == nullptr)
@@ -112,9 +123,7 @@
   if (!ownsHash(Edits.inForce().ownerOf(Section), Operation.Proof))
     return failed(base::error_kind::Unauthorized,
                   "the token is not that of the data centre's owner");
-  const data_centre_reply Reply = DataCentres.apply(Index, Operation);
-  publishDataCentre(Operation.Name);
-  return Reply;
+  return std::nullopt;
 }
 
 reply control_state::applyBody(const member_command &Join) {
@@ -176,6 +185,38 @@
   return done_reply{};
 }
 
+reply control_state::applyBody(const plan_command &Replacement) {
+  const bool Changed = Plan.replace(Replacement);
+  if (Changed)
+    Published.put(publication::PlanKey, Replacement.Plan, Index);
+  return plan_reply{.Version = Plan.version(), .Changed = Changed};
+}
+
+reply control_state::applyBody(const target_command &Reported) {
+  const fleet::target_report &Report = Reported.Report;
+  if (!isPlainName(Report.Id) || Report.Id.find('/') != std::string::npos)
+    return failed(base::error_kind::BadRequest,
+                  "a target needs an id without '/'");
+  const auto Changes = Targets.take(Report);
+  for (const std::string &Id : Changes)
+    publishTarget(Id);
+  return target_reply{.Changed = !Changes.empty()};
+}
+
+reply control_state::applyBody(const target_left_command &Departure) {
+  const bool Changed = Targets.leave(Departure.Id, Departure.StartedAtMs);
+  if (Changed)
+    publishTarget(Departure.Id);
+  return target_reply{.Changed = Changed};
+}
+
+reply control_state::applyBody(const target_expired_command &Expiry) {
+  const bool Changed = Targets.expire(Expiry);
+  if (Changed)
+    publishTarget(Expiry.Id);
+  return target_reply{.Changed = Changed};
+}
+
 void control_state::readPolicy() {
   const std::string *Content =
       Edits.inForce().find(std::string(document::ControlPolicySection));
--- a/modules/controlstate/internal/crashtable.cpp
+++ b/modules/controlstate/internal/crashtable.cpp
@@ -2,7 +2,7 @@
 
 #include "fulmar/controlstate/crashtable.h"
 
-#include "commandpacking.h"
+#include "fulmar/controlstate/commandpacking.h"
 
 #include <algorithm>
 #include <set>
--- a/modules/controlstate/internal/datacentretable.cpp
+++ b/modules/controlstate/internal/datacentretable.cpp
@@ -2,7 +2,7 @@
 
 #include "fulmar/controlstate/datacentretable.h"
 
-#include "commandpacking.h"
+#include "fulmar/controlstate/commandpacking.h"
 
 namespace fulmar::controlstate {
 
--- /dev/null
+++ b/modules/controlstate/internal/plantable.cpp
@@ -0,0 +1,24 @@
+// Keeps the highest version.
+
+#include "fulmar/controlstate/plantable.h"
+
+#include "fulmar/controlstate/commandpacking.h"
+
+namespace fulmar::controlstate {
+
+bool plan_table::replace(const plan_command &Replacement) {
+  if (Replacement.Version <= Held.Version)
+    return false;
+  Held = Replacement;
+  return true;
+}
+
+std::string plan_table::encode() const { return claims::packValue(Held); }
+
+base::result<void> plan_table::decode(std::string_view Encoded) {
+  BOOST_OUTCOME_TRY(Decoded, claims::unpackValue<plan_command>(Encoded));
+  Held = std::move(Decoded);
+  return base::success();
+}
+
+} // namespace fulmar::controlstate
--- a/modules/controlstate/internal/publishing.cpp
+++ b/modules/controlstate/internal/publishing.cpp
@@ -55,6 +55,14 @@
                 Index);
 }
 
+void control_state::publishTarget(const std::string &Id) {
+  const fleet::target_report *Held = Targets.find(Id);
+  const bool Present =
+      Held != nullptr && Held->Phase != fleet::target_phase::Left;
+  Published.put(publication::TargetPrefix + Id,
+                Present ? fleet::encodeTarget(*Held) : "", Index);
+}
+
 void control_state::publishQuarantines() {
   const std::string Prefix = publication::QuarantinePrefix;
   for (const publication::item &Item : Published.withPrefix(Prefix)) {
--- a/modules/controlstate/internal/replies.cpp
+++ b/modules/controlstate/internal/replies.cpp
@@ -3,7 +3,7 @@
 #include "fulmar/controlstate/replies.h"
 
 #include "replypacking.h"
-#include "variantpacking.h"
+#include "fulmar/claims/variantpacking.h"
 
 namespace fulmar::controlstate {
 
--- a/modules/controlstate/internal/replypacking.h
+++ b/modules/controlstate/internal/replypacking.h
@@ -31,6 +31,10 @@
   return std::tie(Item.Crashes, Item.Quarantined);
 }
 inline auto fieldsOf(failed_reply &Item) { return std::tie(Item.Error); }
+inline auto fieldsOf(plan_reply &Item) {
+  return std::tie(Item.Version, Item.Changed);
+}
+inline auto fieldsOf(target_reply &Item) { return std::tie(Item.Changed); }
 inline auto fieldsOf(done_reply & /*Item*/) { return std::tie(); }
 constexpr edit_outcome lastOf(edit_outcome /*Kind*/) {
   return edit_outcome::Refused;
--- a/modules/controlstate/internal/snapshot.cpp
+++ b/modules/controlstate/internal/snapshot.cpp
@@ -2,10 +2,9 @@
 
 #include "fulmar/controlstate/controlstate.h"
 
-#include "fulmar/claims/packing.h"
+#include "fulmar/publication/changespacking.h"
 
 #include <json/reader.h>
-#include <json/writer.h>
 
 #include <memory>
 #include <tuple>
@@ -14,7 +13,9 @@
 
 namespace {
 
-constexpr std::uint32_t SnapshotVersion = 1;
+constexpr std::uint32_t SnapshotVersion = 2;
+/// Without plan and targets; the published items are JSON.
+constexpr std::uint32_t FirstSnapshotVersion = 1;
 
 struct snapshot_form {
   std::uint32_t Version = SnapshotVersion;
@@ -25,6 +26,21 @@
   std::string Members;
   std::string Claims;
   std::string Crashes;
+  publication::changes Published;
+  std::string Plan;
+  std::string Targets;
+};
+
+/// As written by version 1.
+struct first_snapshot_form {
+  std::uint32_t Version = FirstSnapshotVersion;
+  std::uint64_t Index = 0;
+  std::int64_t NowMs = 0;
+  std::string Edits;
+  std::string DataCentres;
+  std::string Members;
+  std::string Claims;
+  std::string Crashes;
   /// JSON as the published items travel.
   std::string Published;
 };
@@ -32,16 +48,16 @@
 auto fieldsOf(snapshot_form &Item) {
   return std::tie(Item.Version, Item.Index, Item.NowMs, Item.Edits,
                   Item.DataCentres, Item.Members, Item.Claims, Item.Crashes,
-                  Item.Published);
+                  Item.Published, Item.Plan, Item.Targets);
 }
 
-std::string publishedText(const publication::published_items &Items) {
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, publication::toJson(Items.changesSince(0)));
+auto fieldsOf(first_snapshot_form &Item) {
+  return std::tie(Item.Version, Item.Index, Item.NowMs, Item.Edits,
+                  Item.DataCentres, Item.Members, Item.Claims, Item.Crashes,
+                  Item.Published);
 }
 
-base::result<publication::published_items>
+base::result<publication::changes>
 publishedFrom(const std::string &Text) {
   Json::Value Json;
   std::string Faults;
@@ -49,10 +65,29 @@
   const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
   if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Json, &Faults))
     return base::fail(base::error_kind::Corrupt, Faults);
-  BOOST_OUTCOME_TRY(Changes, publication::changesFromJson(Json));
-  publication::published_items Items;
-  BOOST_OUTCOME_TRYV(Items.merge(Changes));
-  return Items;
+  return publication::changesFromJson(Json);
+}
+
+base::result<snapshot_form> formFrom(std::string_view Snapshot) {
+  const auto Form = claims::unpackValue<snapshot_form>(Snapshot);
+  if (Form && Form.value().Version == SnapshotVersion)
+    return Form;
+  BOOST_OUTCOME_TRY(First, claims::unpackValue<first_snapshot_form>(Snapshot));
+  if (First.Version != FirstSnapshotVersion)
+    return base::fail(base::error_kind::Corrupt,
+                      "snapshot of unknown version " +
+                          std::to_string(First.Version));
+  BOOST_OUTCOME_TRY(Published, publishedFrom(First.Published));
+  return snapshot_form{.Index = First.Index,
+                       .NowMs = First.NowMs,
+                       .Edits = First.Edits,
+                       .DataCentres = First.DataCentres,
+                       .Members = First.Members,
+                       .Claims = First.Claims,
+                       .Crashes = First.Crashes,
+                       .Published = std::move(Published),
+                       .Plan = plan_table().encode(),
+                       .Targets = target_table().encode()};
 }
 
 } // namespace
@@ -66,15 +101,13 @@
                     .Members = Members.encode(),
                     .Claims = Claims.encode(),
                     .Crashes = Crashes.encode(),
-                    .Published = publishedText(Published)});
+                    .Published = Published.changesSince(0),
+                    .Plan = Plan.encode(),
+                    .Targets = Targets.encode()});
 }
 
 base::result<void> control_state::restore(std::string_view Snapshot) {
-  BOOST_OUTCOME_TRY(Form, claims::unpackValue<snapshot_form>(Snapshot));
-  if (Form.Version != SnapshotVersion)
-    return base::fail(base::error_kind::Corrupt,
-                      "snapshot of unknown version " +
-                          std::to_string(Form.Version));
+  BOOST_OUTCOME_TRY(Form, formFrom(Snapshot));
   control_state Restored;
   Restored.Index = Form.Index;
   Restored.NowMs = Form.NowMs;
@@ -83,8 +116,9 @@
   BOOST_OUTCOME_TRYV(Restored.Members.decode(Form.Members));
   BOOST_OUTCOME_TRYV(Restored.Claims.decode(Form.Claims));
   BOOST_OUTCOME_TRYV(Restored.Crashes.decode(Form.Crashes));
-  BOOST_OUTCOME_TRY(Items, publishedFrom(Form.Published));
-  Restored.Published = std::move(Items);
+  BOOST_OUTCOME_TRYV(Restored.Plan.decode(Form.Plan));
+  BOOST_OUTCOME_TRYV(Restored.Targets.decode(Form.Targets));
+  BOOST_OUTCOME_TRYV(Restored.Published.merge(Form.Published));
   Restored.readPolicy();
   *this = std::move(Restored);
   return base::success();
--- /dev/null
+++ b/modules/eventloop/include/fulmar/eventloop/httpserver.h
@@ -0,0 +1,68 @@
+// A small HTTP/1.1 server for the system's own interfaces: whole requests in,
+// whole answers out, any number of kept connections.
+
+#ifndef FULMAR_EVENTLOOP_HTTPSERVER_H
+#define FULMAR_EVENTLOOP_HTTPSERVER_H
+
+#include "fulmar/eventloop/loop.h"
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fulmar::eventloop {
+
+struct http_request {
+  std::string Method;
+  /// Path and query as sent.
+  std::string Target;
+  std::string Body;
+
+  friend auto operator<=>(const http_request &, const http_request &) = default;
+};
+
+struct http_answer {
+  unsigned Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  /// Value of Retry-After; none when empty.
+  std::string RetryAfter;
+
+  friend auto operator<=>(const http_answer &, const http_answer &) = default;
+};
+
+/// Called once, at once or later.
+using http_responder = std::function<void(http_answer)>;
+using http_handler = std::function<void(http_request, http_responder)>;
+
+struct http_server_options {
+  std::string Address;
+  std::size_t MaxHeaderBytes = std::size_t(16) << 10;
+  std::size_t MaxBodyBytes = std::size_t(8) << 20;
+  /// A connection that sends no request for this long is closed.
+  base::duration IdleLimit = std::chrono::seconds(30);
+};
+
+class http_server {
+public:
+  http_server(loop &OwningLoop, http_server_options Chosen,
+              http_handler Called);
+  base::result<void> start();
+  /// Takes no further connections.
+  void stop();
+
+private:
+  void accept();
+
+  loop &Loop;
+  http_server_options Options;
+  /// Shared with the connections, which may outlive the server.
+  std::shared_ptr<const http_handler> Handler;
+  std::unique_ptr<tcp::acceptor> Acceptor;
+};
+
+} // namespace fulmar::eventloop
+
+#endif // FULMAR_EVENTLOOP_HTTPSERVER_H
--- /dev/null
+++ b/modules/eventloop/internal/framedialer.cpp
@@ -0,0 +1,93 @@
+// Keeps one link connected.
+
+#include "fulmar/eventloop/framelink.h"
+
+namespace fulmar::eventloop {
+
+namespace {
+
+/// Pause between two attempts to connect.
+constexpr auto RetryPause = std::chrono::milliseconds(200);
+/// A connection that takes longer is given up: some 100 round trips between
+/// neighbouring data centres.
+constexpr auto ConnectLimit = std::chrono::milliseconds(500);
+constexpr auto WatchInterval = std::chrono::milliseconds(250);
+
+} // namespace
+
+frame_dialer::frame_dialer(loop &OwningLoop, options Chosen, handlers Called)
+    : Loop(OwningLoop), Options(std::move(Chosen)), Handlers(std::move(Called)),
+      Retry(Loop), Watch(Loop) {
+  connect();
+}
+
+frame_dialer::~frame_dialer() {
+  if (Link)
+    Link->close();
+  if (Connecting) {
+    error_code Ignored;
+    Connecting->close(Ignored);
+  }
+}
+
+void frame_dialer::connect() {
+  const auto Endpoint = parseEndpoint(Options.Address);
+  if (!Endpoint)
+    return;
+  Connecting = std::make_shared<tcp::socket>(Loop.context());
+  Retry.after(ConnectLimit, [this] { drop(); });
+  Connecting->async_connect(
+      Endpoint.value(), [this, Mine = std::weak_ptr(Connecting)](
+                            error_code Failed) {
+        const auto Socket = Mine.lock();
+        // This dialer may be gone, or may have given the attempt up.
+        if (!Socket || Failed == asio::error::operation_aborted)
+          return;
+        if (Failed)
+          return drop();
+        onConnected(std::move(*Socket));
+      });
+}
+
+void frame_dialer::onConnected(tcp::socket Socket) {
+  Connecting.reset();
+  Retry.cancel();
+  Link = std::make_shared<frame_link>(Loop, std::move(Socket));
+  Link->start(Handlers.Frame, [this] { drop(); });
+  watch();
+  if (Handlers.Connected)
+    Handlers.Connected();
+}
+
+void frame_dialer::watch() {
+  Watch.after(WatchInterval, [this] {
+    if (Link && Loop.now() - Link->heardAt() > Options.SilenceLimit)
+      return drop();
+    watch();
+  });
+}
+
+void frame_dialer::drop() {
+  const bool WasConnected = Link != nullptr;
+  if (Link)
+    Link->close();
+  Link.reset();
+  if (Connecting) {
+    error_code Ignored;
+    Connecting->close(Ignored);
+  }
+  Connecting.reset();
+  Watch.cancel();
+  Retry.after(RetryPause, [this] { connect(); });
+  if (WasConnected && Handlers.Lost)
+    Handlers.Lost();
+}
+
+bool frame_dialer::send(std::string Payload) {
+  if (!Link)
+    return false;
+  Link->send(std::move(Payload));
+  return true;
+}
+
+} // namespace fulmar::eventloop
--- /dev/null
+++ b/modules/fleet/internal/targetreport.cpp
@@ -0,0 +1,37 @@
+// Order and encoding of targets' reports.
+
+#include "fulmar/fleet/targetreport.h"
+
+#include "fulmar/fleet/fleetpacking.h"
+
+#include <utility>
+
+namespace fulmar::fleet {
+
+bool isNewer(const target_report &Report, const target_report &Held) {
+  if (Report.StartedAtMs != Held.StartedAtMs)
+    return Report.StartedAtMs > Held.StartedAtMs;
+  // A run that has left does not come back.
+  if (Held.Phase == target_phase::Left)
+    return false;
+  return Report.Phase == target_phase::Left || Report.Sequence > Held.Sequence;
+}
+
+bool changesTarget(const target_report &Report, const target_report &Held) {
+  target_report Same = Report;
+  Same.Sequence = Held.Sequence;
+  Same.ColdLeftMs = Held.ColdLeftMs;
+  // Turned cold again within a run.
+  const bool Colder = Report.ColdLeftMs > Held.ColdLeftMs;
+  return Same != Held || Colder;
+}
+
+std::string encodeTarget(const target_report &Report) {
+  return claims::packValue(Report);
+}
+
+base::result<target_report> decodeTarget(std::string_view Bytes) {
+  return claims::unpackValue<target_report>(Bytes);
+}
+
+} // namespace fulmar::fleet
--- /dev/null
+++ b/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
@@ -0,0 +1,132 @@
+// The messages on the kept connections between entries and control instances,
+// and between control instances: one msgpack value a frame.
+//
+// A control instance announces how far it has applied the log (log_notice);
+// whoever lacks something asks one of them for it (fetch_request). So every
+// entry hears of a change from each control instance that it reaches, and
+// receives the content once.
+
+#ifndef FULMAR_FLEETLINK_LINKMESSAGES_H
+#define FULMAR_FLEETLINK_LINKMESSAGES_H
+
+#include "fulmar/base/result.h"
+#include "fulmar/controlstate/commands.h"
+#include "fulmar/publication/publisheditems.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace fulmar::fleetlink {
+
+/// An entry tells what it is, regularly and after each change.
+struct entry_notice {
+  controlstate::member_report Report;
+  /// Callers may be sent here.
+  bool Ready = false;
+
+  friend auto operator<=>(const entry_notice &, const entry_notice &) = default;
+};
+
+/// Asks for the published items that changed behind a serial.
+struct fetch_request {
+  publication::serial Since = 0;
+
+  friend auto operator<=>(const fetch_request &,
+                          const fetch_request &) = default;
+};
+
+struct fetch_reply {
+  publication::changes Changes;
+
+  friend auto operator<=>(const fetch_reply &, const fetch_reply &) = default;
+};
+
+/// A control instance tells how far it is.
+struct log_notice {
+  publication::serial Latest = 0;
+  /// Where the sender runs.
+  std::string DataCentre;
+  /// Age of the newest proof that a quorum stood behind this state; negative
+  /// when there is none.
+  std::int64_t ProofAgeMs = -1;
+  /// Link addresses of the control instances.
+  std::vector<std::string> Controls;
+
+  friend auto operator<=>(const log_notice &, const log_notice &) = default;
+};
+
+/// A target crashed while it ran a request.
+struct crash_notice {
+  controlstate::crash_command Crash;
+
+  friend auto operator<=>(const crash_notice &, const crash_notice &) = default;
+};
+
+/// A message of the replicated log.
+struct log_message {
+  std::string From;
+  std::string Bytes;
+
+  friend auto operator<=>(const log_message &, const log_message &) = default;
+};
+
+/// A control instance without a place in the log asks for one.
+struct join_request {
+  std::string Id;
+
+  friend auto operator<=>(const join_request &, const join_request &) = default;
+};
+
+enum class leader_call : std::uint8_t {
+  Propose,
+  /// Answered with the document in force, once a quorum has confirmed it.
+  ReadDocument,
+};
+
+/// An instance that does not lead passes a call on.
+struct call_request {
+  std::string From;
+  std::uint64_t Id = 0;
+  leader_call Call = leader_call::Propose;
+  /// Written by controlstate::encodeCommand().
+  std::string Command;
+
+  friend auto operator<=>(const call_request &, const call_request &) = default;
+};
+
+struct call_reply {
+  std::uint64_t Id = 0;
+  /// Done, or why not. Nothing was accepted on NotLeader and StorageFull.
+  bool Succeeded = false;
+  std::uint32_t ErrorKind = 0;
+  std::string Message;
+  /// Encoded reply of the state, or the document.
+  std::string Reply;
+
+  friend auto operator<=>(const call_reply &, const call_reply &) = default;
+};
+
+/// Targets that reported lately to an instance that does not lead.
+struct liveness_notice {
+  std::vector<std::string> Targets;
+
+  friend auto operator<=>(const liveness_notice &,
+                          const liveness_notice &) = default;
+};
+
+using link_message =
+    std::variant<entry_notice, fetch_request, fetch_reply, log_notice,
+                 crash_notice, log_message, join_request, call_request,
+                 call_reply, liveness_notice>;
+
+std::string encodeLink(const link_message &Message);
+/// Fails with BadRequest on malformed bytes.
+base::result<link_message> decodeLink(std::string_view Bytes);
+
+} // namespace fulmar::fleetlink
+
+#endif // FULMAR_FLEETLINK_LINKMESSAGES_H
--- /dev/null
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -0,0 +1,93 @@
+// What an entry knows of the fleet, kept up to date over links to the control
+// instances. It goes on with what it knows when all of them are lost.
+
+#ifndef FULMAR_GATEWAY_FLEETFEED_H
+#define FULMAR_GATEWAY_FLEETFEED_H
+
+#include "fulmar/controlstate/commands.h"
+#include "fulmar/eventloop/framelink.h"
+#include "fulmar/fleet/routingplan.h"
+#include "fulmar/fleet/targetreport.h"
+#include "fulmar/fleetlink/linkmessages.h"
+#include "fulmar/publication/publisheditems.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::gateway {
+
+/// The published items, decoded.
+struct fleet_view {
+  publication::serial Serial = 0;
+  /// Null until a plan is known.
+  std::shared_ptr<const fleet::routing_plan> Plan;
+  /// Targets that take new work: serving, and in a data centre that is in.
+  std::vector<fleet::target_report> Targets;
+  std::set<std::string> DataCentresOut;
+  /// Ids of all entries.
+  std::vector<std::string> Entries;
+  /// Fingerprints of requests that crash targets.
+  std::set<std::string> Quarantined;
+};
+
+struct fleet_feed_options {
+  controlstate::member_report Self;
+  /// Link addresses of the control instances known at the start.
+  std::vector<std::string> Seeds;
+};
+
+class fleet_feed {
+public:
+  using view_handler = std::function<void(const fleet_view &)>;
+
+  fleet_feed(eventloop::loop &OwningLoop, fleet_feed_options Chosen,
+             view_handler Changed);
+
+  void addSeeds(const std::vector<std::string> &Seeds);
+  /// Tells the control instances whether callers may be sent here.
+  void setReady(bool Ready);
+  void setStopping();
+  void reportCrash(const controlstate::crash_command &Crash);
+
+  [[nodiscard]] const fleet_view &view() const { return View; }
+
+private:
+  struct control_link {
+    std::unique_ptr<eventloop::frame_dialer> Dialer;
+    std::string DataCentre;
+    publication::serial Latest = 0;
+  };
+
+  void dial(const std::string &Address);
+  void onFrame(const std::string &From, std::string_view Frame);
+  void take(const std::string &From, const fleetlink::log_notice &Notice);
+  void take(const fleetlink::fetch_reply &Reply);
+  void fetchIfBehind(bool FromAnywhere);
+  void tick();
+  void announce();
+  void sendAll(const fleetlink::link_message &Message);
+  void decode();
+
+  eventloop::loop &Loop;
+  fleet_feed_options Options;
+  view_handler OnChange;
+  std::map<std::string, control_link> Links;
+  publication::published_items Items;
+  fleet_view View;
+  bool Ready = false;
+  /// Ask for everything, because changes did not fit.
+  bool WantsAll = false;
+  base::instant FetchedAt{};
+  bool Fetching = false;
+  eventloop::timer Ticker;
+  eventloop::timer Announcer;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_FLEETFEED_H
--- /dev/null
+++ b/modules/gateway/internal/channelpool.h
@@ -0,0 +1,48 @@
+// The kept connections to all targets.
+
+#ifndef FULMAR_GATEWAY_INTERNAL_CHANNELPOOL_H
+#define FULMAR_GATEWAY_INTERNAL_CHANNELPOOL_H
+
+#include "fulmar/fleet/targetreport.h"
+#include "fulmar/telemetry/metrics.h"
+#include "internal/targetchannel.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::gateway {
+
+using channel_ptr = std::shared_ptr<target_channel>;
+
+class channel_pool {
+public:
+  channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
+               telemetry::metrics &Registry);
+
+  /// An idle connection to this run of the target, or a new one; null for an
+  /// address that can't be read.
+  channel_ptr acquire(const fleet::target_report &Target);
+  /// Keeps the connection for another call if it is fit for one.
+  void release(const channel_ptr &Channel);
+  /// Closes what has been idle for too long.
+  void sweep();
+  /// Closes the idle connections of all other targets.
+  void keepOnly(const std::set<std::string> &Keys);
+
+  /// Names one run of a target at its address.
+  static std::string keyOf(const fleet::target_report &Target);
+
+private:
+  eventloop::loop &Loop;
+  const dialect &Dialect;
+  telemetry::counter &Opened;
+  /// The most recently used last.
+  std::map<std::string, std::vector<channel_ptr>> Idle;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_INTERNAL_CHANNELPOOL_H
--- /dev/null
+++ b/modules/gateway/internal/exchange.cpp
@@ -0,0 +1,375 @@
+// The life of a request: looks, sends, answers.
+
+#include "internal/exchange.h"
+
+#include "fulmar/routing/fingerprint.h"
+
+#include <algorithm>
+
+namespace fulmar::gateway {
+
+namespace {
+
+using routing::attempt_quality;
+
+/// Targets looked at in the first round, and in each further one.
+constexpr std::size_t FirstLooks = 2;
+constexpr std::size_t FurtherLooks = 3;
+/// Rounds after which the best target found is taken.
+constexpr std::size_t MaxRounds = 2;
+/// From this round on, targets of other data centres are as good as near ones.
+constexpr std::size_t AbroadRound = 2;
+/// A look that is not answered by then counts as a slow target's: several
+/// times a probe's usual time.
+constexpr base::duration LookWait = std::chrono::milliseconds(25);
+/// Older looks say nothing about now.
+constexpr base::duration LookLifetime = std::chrono::milliseconds(40);
+/// Pause before looking again while every target is full.
+constexpr base::duration FullPause = std::chrono::milliseconds(20);
+/// Part of its objective that a request may wait for a target with room.
+constexpr int WaitDivisor = 8;
+/// With less time left, a request is not sent again.
+constexpr base::duration MinTimeToSend = std::chrono::milliseconds(20);
+/// Time for the final answer to reach the caller before its deadline.
+constexpr base::duration AnswerMargin = std::chrono::milliseconds(10);
+/// Part of the objective after which a second target is asked.
+constexpr double HedgeShare = 0.55;
+
+} // namespace
+
+exchange::exchange(gateway_state &Owner, front_request Arrived)
+    : State(Owner), Request(std::move(Arrived)), Overall(Owner.Loop),
+      RoundTimer(Owner.Loop), HedgeTimer(Owner.Loop) {}
+
+void exchange::start(handler Done) {
+  OnDone = std::move(Done);
+  ++State.Running;
+  RequestId = headerOf(Request.Fields, State.Options.Dialect.RequestId);
+  if (!admit())
+    return;
+  Service->Retries.arrived(Request.ArrivedAt);
+  Overall.after(std::max(base::duration(1), End - State.Loop.now()),
+                [Self = shared_from_this()] { Self->onTimeout(); });
+  startRound();
+}
+
+bool exchange::admit() {
+  Plan = State.Routes.plan();
+  if (!Plan) {
+    fail({base::error_kind::StaleKnowledge, "no routing plan yet"});
+    return false;
+  }
+  const std::string Path =
+      Request.Target.substr(0, Request.Target.find('?'));
+  Route = State.Routes.find(headerOf(Request.Fields, "Host"), Path);
+  if (Route == nullptr) {
+    fail({base::error_kind::UnknownService, "no route"});
+    return false;
+  }
+  Fingerprint = routing::fingerprintText(routing::fingerprintOfContent(
+      Request.Method, Request.Target, Request.Body ? *Request.Body : ""));
+  if (State.Quarantined.contains(Fingerprint)) {
+    fail({base::error_kind::Quarantined, "the request crashes targets"});
+    return false;
+  }
+  const auto Sequence = State.Shares.find(Route->Name);
+  Service = State.serviceOf(Sequence == State.Shares.end()
+                                ? Route->Shares.front().Service
+                                : Sequence->second.next(*Route));
+  if (!Service) {
+    fail({base::error_kind::NoTarget, "service without targets"});
+    return false;
+  }
+  Idempotent = Route->Repeatability == fleet::repeatability::Idempotent;
+  End = Request.ArrivedAt + std::chrono::milliseconds(Route->TimeoutMs);
+  const auto Told =
+      parseWhole(headerOf(Request.Fields, State.Options.Dialect.Deadline));
+  if (Told)
+    End = std::min(End, Request.ArrivedAt + std::chrono::milliseconds(*Told) -
+                            AnswerMargin);
+  WaitEnd = std::min(End, Request.ArrivedAt +
+                              std::chrono::milliseconds(Route->ObjectiveMs) /
+                                  WaitDivisor);
+  return true;
+}
+
+void exchange::startRound() {
+  Choosing = true;
+  placement::candidate_query Query{.Excluded = Seen,
+                                   .Count = Round == 0 ? FirstLooks
+                                                       : FurtherLooks,
+                                   .Abroad = Round >= AbroadRound};
+  Query.Excluded.insert(SentTo.begin(), SentTo.end());
+  const base::instant Now = State.Loop.now();
+  const auto Ids = Service->Placement.candidates(Query, Now);
+  ++Round;
+  if (Ids.empty())
+    return decide();
+  const std::size_t Allowed = State.Probes.take(Ids.size(), Now);
+  if (!Service->Placement.tellsLoad() || Allowed == 0)
+    return sendUnseen(Ids);
+  lookAt({Ids.begin(), Ids.begin() + static_cast<std::ptrdiff_t>(Allowed)});
+}
+
+void exchange::lookAt(const std::vector<std::string> &Ids) {
+  RoundTimer.after(LookWait,
+                   [Self = shared_from_this()] { Self->decide(); });
+  std::vector<std::shared_ptr<look>> Started;
+  for (const std::string &Id : Ids) {
+    Seen.insert(Id);
+    Started.push_back(std::make_shared<look>(State, Service,
+                                             *Service->Placement.find(Id)));
+    Looks.push_back(Started.back());
+  }
+  for (const auto &Look : Started)
+    Look->start([Self = weak_from_this()] {
+      if (const auto Exchange = Self.lock())
+        Exchange->onLook();
+    });
+}
+
+/// Without a look: the target at which this entry has least to do.
+void exchange::sendUnseen(const std::vector<std::string> &Ids) {
+  const auto &Placement = Service->Placement;
+  const auto Least = std::min_element(
+      Ids.begin(), Ids.end(), [&](const auto &Left, const auto &Right) {
+        return Placement.inFlight(Left) < Placement.inFlight(Right);
+      });
+  const fleet::target_report *Target = Placement.find(*Least);
+  channel_ptr Channel = State.Pool.acquire(*Target);
+  Choosing = false;
+  if (!Channel || !Service->Placement.admit(*Least, State.Loop.now()))
+    return sendAgain();
+  send(*Least, std::move(Channel));
+}
+
+void exchange::onLook() {
+  if (!Choosing)
+    return;
+  const bool AllDone = std::all_of(Looks.begin(), Looks.end(),
+                                   [](const auto &Look) { return Look->done(); });
+  const look *Best = best();
+  const bool GoodEnough =
+      Best != nullptr && placement::isGood(Best->load(), Best->hidden());
+  if (AllDone || GoodEnough)
+    decide();
+}
+
+look *exchange::best() const {
+  const base::instant Now = State.Loop.now();
+  look *Best = nullptr;
+  double BestTime = 0;
+  for (const auto &Look : Looks) {
+    if (!Look->good() || Now - Look->answeredAt() > LookLifetime)
+      continue;
+    const double Time =
+        placement::expectedTime(Look->load(), Look->hidden());
+    if (Best == nullptr || Time < BestTime) {
+      Best = Look.get();
+      BestTime = Time;
+    }
+  }
+  return Best;
+}
+
+void exchange::decide() {
+  RoundTimer.cancel();
+  look *Best = best();
+  const bool Full =
+      Best == nullptr || placement::isFull(Best->load(), Best->hidden());
+  const bool Good =
+      Best != nullptr && placement::isGood(Best->load(), Best->hidden());
+  const std::size_t Before = Seen.size();
+  if (!Good && Round < MaxRounds + (Full ? 1 : 0) && Before < Service->Placement.size())
+    return startRound();
+  if (Full)
+    return lookAgainLater();
+  const std::string Target = Best->target();
+  if (!Service->Placement.admit(Target, State.Loop.now())) {
+    std::erase_if(Looks, [Best](const auto &Look) {
+      if (Look.get() == Best)
+        Look->release();
+      return Look.get() == Best;
+    });
+    return decide();
+  }
+  channel_ptr Channel = Best->takeChannel();
+  dropLooks();
+  Choosing = false;
+  send(Target, std::move(Channel));
+}
+
+void exchange::lookAgainLater() {
+  dropLooks();
+  Seen.clear();
+  Round = 0;
+  const bool Waits = Attempts.empty() && State.Loop.now() + FullPause < WaitEnd;
+  if (!Waits) {
+    Choosing = false;
+    if (Attempts.empty())
+      LastFailure = {base::error_kind::Saturated, "no target has room"};
+    if (!anyRunning())
+      giveUp();
+    return;
+  }
+  RoundTimer.after(FullPause,
+                   [Self = shared_from_this()] { Self->startRound(); });
+}
+
+std::string exchange::headFor(const std::string &Target) const {
+  const dialect &Names = State.Options.Dialect;
+  std::string Head = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  for (const auto &Field : Request.Fields) {
+    const std::string_view Name(Field.name_string().data(),
+                                Field.name_string().size());
+    const bool Own = equalsIgnoringCase(Name, Names.Deadline) ||
+                     equalsIgnoringCase(Name, Names.ExpectedTarget) ||
+                     equalsIgnoringCase(Name, "Content-Length") ||
+                     equalsIgnoringCase(Name, "Expect");
+    if (!Own && !isHopByHop(Request.Fields, Name))
+      appendHeader(Head, Name, {Field.value().data(), Field.value().size()});
+  }
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      End - State.Loop.now());
+  appendHeader(Head, Names.Deadline,
+               std::to_string(std::max<std::int64_t>(1, Left.count())));
+  appendHeader(Head, Names.ExpectedTarget, Target);
+  const bool HasBody = Request.Body && !Request.Body->empty();
+  if (HasBody || Request.Method == "POST" || Request.Method == "PUT" ||
+      Request.Method == "PATCH")
+    appendHeader(Head, "Content-Length",
+                 std::to_string(Request.Body ? Request.Body->size() : 0));
+  return Head + "\r\n";
+}
+
+void exchange::send(const std::string &Target, channel_ptr Channel) {
+  if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
+    State.Pool.release(Channel);
+    if (!anyRunning())
+      giveUp();
+    return;
+  }
+  SentTo.insert(Target);
+  Service->Placement.sent(Target);
+  Attempts.push_back({.Target = Target,
+                      .Channel = Channel,
+                      .SentAt = State.Loop.now()});
+  const std::size_t Index = Attempts.size() - 1;
+  Channel->call({.Head = headFor(Target),
+                 .Body = Request.Body,
+                 .RequestId = RequestId,
+                 .HeadOnly = Request.Method == "HEAD"},
+                [Self = shared_from_this(),
+                 Index](base::result<target_answer> Result) {
+                  Self->onAnswer(Index, std::move(Result));
+                });
+  armHedge();
+}
+
+void exchange::armHedge() {
+  HedgeTimer.cancel();
+  if (!Idempotent || Attempts.size() >= Route->Attempts)
+    return;
+  const auto Wait = base::duration(static_cast<base::duration::rep>(
+      HedgeShare * static_cast<double>(Route->ObjectiveMs) * 1'000));
+  if (State.Loop.now() + Wait + MinTimeToSend >= End)
+    return;
+  HedgeTimer.after(Wait, [Self = shared_from_this()] { Self->hedge(); });
+}
+
+void exchange::hedge() {
+  if (Choosing || !anyRunning() ||
+      !Service->Retries.available(State.Loop.now()))
+    return;
+  Round = 0;
+  Seen.clear();
+  startRound();
+}
+
+bool exchange::anyRunning() const {
+  return std::any_of(Attempts.begin(), Attempts.end(),
+                     [](const attempt &Attempt) { return Attempt.Running; });
+}
+
+void exchange::endAttempt(std::size_t Index, attempt_quality Quality) {
+  attempt &Attempt = Attempts[Index];
+  Attempt.Running = false;
+  const base::instant Now = State.Loop.now();
+  Service->Placement.ended(Attempt.Target, Quality, Now - Attempt.SentAt, Now);
+  if (Attempt.Channel)
+    State.Pool.release(std::exchange(Attempt.Channel, {}));
+}
+
+void exchange::onAnswer(std::size_t Index, base::result<target_answer> Result) {
+  if (!OnDone)
+    return;
+  if (Result)
+    return onWhole(Index, std::move(Result).value());
+  LastFailure = Result.error();
+  const bool Untouched = Result.error().Kind == base::error_kind::Unreachable;
+  MayHaveRun = MayHaveRun || !Untouched;
+  endAttempt(Index, attempt_quality::Break);
+  if (Untouched)
+    Service->Placement.unreachable(Attempts[Index].Target, State.Loop.now());
+  sendAgain();
+}
+
+void exchange::onWhole(std::size_t Index, target_answer Answer) {
+  constexpr unsigned FirstRedirect = 300;
+  constexpr unsigned FirstServerError = 500;
+  constexpr unsigned Misdirected = 421;
+  const dialect &Names = State.Options.Dialect;
+  if (!headerOf(Answer.Fields, Names.NotRun).empty() ||
+      Answer.Status == Misdirected) {
+    LastFailure = {base::error_kind::Saturated,
+                   "target " + Attempts[Index].Target + " refused with " +
+                       std::to_string(Answer.Status)};
+    endAttempt(Index, attempt_quality::Error);
+    return sendAgain();
+  }
+  const bool Signed = !headerOf(Answer.Fields, Names.Signature).empty();
+  const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
+  const bool Success = Answer.Status < FirstRedirect;
+  if (Success && Signed && !Encoded) {
+    endAttempt(Index, attempt_quality::Good);
+    return deliver(std::move(Answer));
+  }
+  MayHaveRun = true;
+  const bool ServerError = Answer.Status >= FirstServerError;
+  endAttempt(Index, attempt_quality::Error);
+  LastFailure = {base::error_kind::OutcomeUnknown,
+                 "target answered " + std::to_string(Answer.Status)};
+  if (Signed && !Success) {
+    if (!ServerError)
+      return deliver(std::move(Answer));
+    OwnFailure = std::make_unique<target_answer>(std::move(Answer));
+  }
+  sendAgain();
+}
+
+bool exchange::mayTryAgain() const {
+  return (Idempotent || !MayHaveRun) && Attempts.size() < Route->Attempts &&
+         State.Loop.now() + MinTimeToSend < End &&
+         Service->Retries.available(State.Loop.now());
+}
+
+void exchange::sendAgain() {
+  if (Choosing || anyRunning())
+    return;
+  if (!mayTryAgain())
+    return giveUp();
+  Round = 0;
+  Seen.clear();
+  startRound();
+}
+
+void exchange::onTimeout() {
+  if (anyRunning()) {
+    MayHaveRun = true;
+    LastFailure = {base::error_kind::TargetTimeout,
+                   "no answer within the time"};
+  }
+  giveUp();
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/internal/exchange.h
@@ -0,0 +1,119 @@
+// One request of a caller, from its arrival to its only answer: looks at
+// targets, sends, second sends, and what the caller is told when none of that
+// led to an answer.
+
+#ifndef FULMAR_GATEWAY_INTERNAL_EXCHANGE_H
+#define FULMAR_GATEWAY_INTERNAL_EXCHANGE_H
+
+#include "internal/gatewaystate.h"
+#include "internal/look.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::gateway {
+
+struct front_request {
+  std::string Method;
+  /// Path and query as sent.
+  std::string Target;
+  http::fields Fields;
+  shared_body Body;
+  base::instant ArrivedAt{};
+};
+
+struct front_answer {
+  unsigned Status = 503;
+  std::string Reason;
+  /// Header lines, without those that concern the connection or the length.
+  std::string Headers;
+  std::string Body;
+  /// For an answer to HEAD: the length that GET would have.
+  std::string ContentLength;
+};
+
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+  using handler = std::function<void(front_answer)>;
+
+  exchange(gateway_state &Owner, front_request Arrived);
+
+  /// Calls \p Done once, now or later, unless cancelled.
+  void start(handler Done);
+  /// The caller has gone: work at targets is cancelled.
+  void cancel();
+
+private:
+  struct attempt {
+    std::string Target;
+    channel_ptr Channel;
+    base::instant SentAt{};
+    bool Running = true;
+  };
+
+  bool admit();
+  void startRound();
+  void lookAt(const std::vector<std::string> &Ids);
+  void sendUnseen(const std::vector<std::string> &Ids);
+  void onLook();
+  void decide();
+  void lookAgainLater();
+  [[nodiscard]] look *best() const;
+  void send(const std::string &Target, channel_ptr Channel);
+  [[nodiscard]] std::string headFor(const std::string &Target) const;
+  void armHedge();
+  void hedge();
+  void onAnswer(std::size_t Index, base::result<target_answer> Result);
+  void onWhole(std::size_t Index, target_answer Answer);
+  void endAttempt(std::size_t Index, routing::attempt_quality Quality);
+  void sendAgain();
+  [[nodiscard]] bool mayTryAgain() const;
+  [[nodiscard]] bool anyRunning() const;
+  void onTimeout();
+
+  void deliver(target_answer Answer);
+  void fail(const base::error &Error);
+  void giveUp();
+  void finish(front_answer Answer);
+  void dropLooks();
+  void dropAttempts(routing::attempt_quality Quality);
+  void log(const front_answer &Answer, std::string_view Cause) const;
+
+  gateway_state &State;
+  front_request Request;
+  handler OnDone;
+  /// Keeps Route valid.
+  std::shared_ptr<const fleet::routing_plan> Plan;
+  const fleet::route *Route = nullptr;
+  service_ptr Service;
+  std::string RequestId;
+  std::string Fingerprint;
+  bool Idempotent = false;
+  base::instant End{};
+  /// Until when the request may wait for a target with room.
+  base::instant WaitEnd{};
+
+  std::vector<std::shared_ptr<look>> Looks;
+  std::set<std::string> Seen;
+  std::set<std::string> SentTo;
+  std::size_t Round = 0;
+  /// Looks are under way, or a pause between them.
+  bool Choosing = false;
+  std::vector<attempt> Attempts;
+  /// Some send may have run at its target.
+  bool MayHaveRun = false;
+  base::error LastFailure{base::error_kind::NoTarget, "no target"};
+  /// A target's own failure, in case nothing better comes.
+  std::unique_ptr<target_answer> OwnFailure;
+
+  eventloop::timer Overall;
+  eventloop::timer RoundTimer;
+  eventloop::timer HedgeTimer;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_INTERNAL_EXCHANGE_H
--- /dev/null
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -0,0 +1,152 @@
+// What the caller is told, and the end of a request.
+
+#include "internal/exchange.h"
+
+#include "fulmar/telemetry/log.h"
+
+#include <absl/random/distributions.h>
+
+#include <cstdio>
+
+namespace fulmar::gateway {
+
+namespace {
+
+using routing::attempt_quality;
+
+/// A refused caller comes back after a part of its objective, spread so that
+/// refused callers don't come back together.
+constexpr double MinReturnShare = 0.15;
+constexpr double MaxReturnShare = 0.5;
+/// For requests without a route.
+constexpr std::int64_t DefaultObjectiveMs = 1'000;
+constexpr unsigned StatusUnavailable = 503;
+
+std::string secondsText(double Seconds) {
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f", Seconds);
+  return Text;
+}
+
+} // namespace
+
+void exchange::deliver(target_answer Answer) {
+  front_answer Out{.Status = Answer.Status,
+                   .Reason = std::move(Answer.Reason),
+                   .Body = std::move(Answer.Body)};
+  for (const auto &Field : Answer.Fields) {
+    const std::string_view Name(Field.name_string().data(),
+                                Field.name_string().size());
+    const std::string_view Value(Field.value().data(), Field.value().size());
+    if (equalsIgnoringCase(Name, "Content-Length"))
+      Out.ContentLength = Value;
+    else if (!isHopByHop(Answer.Fields, Name))
+      appendHeader(Out.Headers, Name, Value);
+  }
+  finish(std::move(Out));
+}
+
+/// Answers in place of a target. A status that promises that nothing was run
+/// is used only where that holds.
+void exchange::fail(const base::error &Error) {
+  const base::error_answer &Kind = base::answerOf(Error.Kind);
+  front_answer Out{.Status = static_cast<unsigned>(Kind.HttpStatus),
+                   .Body = "{\"error\":\"" + std::string(Kind.Name) + "\"}"};
+  appendHeader(Out.Headers, "Content-Type", "application/json");
+  if (!RequestId.empty())
+    appendHeader(Out.Headers, State.Options.Dialect.RequestId, RequestId);
+  if (Out.Status == StatusUnavailable) {
+    const double Objective =
+        static_cast<double>(Route == nullptr ? DefaultObjectiveMs
+                                             : Route->ObjectiveMs) /
+        1'000;
+    const double Share =
+        absl::Uniform(State.Random, MinReturnShare, MaxReturnShare);
+    appendHeader(Out.Headers, "Retry-After", secondsText(Objective * Share));
+  }
+  log(Out, Error.Message);
+  finish(std::move(Out));
+}
+
+void exchange::giveUp() {
+  if (OwnFailure && !anyRunning())
+    return deliver(std::move(*OwnFailure));
+  base::error Cause = LastFailure;
+  if (!MayHaveRun)
+    Cause.Kind = Attempts.empty() ? LastFailure.Kind
+                                  : base::error_kind::Saturated;
+  else if (Cause.Kind != base::error_kind::TargetTimeout)
+    Cause.Kind = base::error_kind::OutcomeUnknown;
+  fail(Cause);
+}
+
+void exchange::finish(front_answer Answer) {
+  dropLooks();
+  dropAttempts(attempt_quality::Cancelled);
+  Overall.cancel();
+  RoundTimer.cancel();
+  HedgeTimer.cancel();
+  Choosing = false;
+  --State.Running;
+  const base::duration Elapsed = State.Loop.now() - Request.ArrivedAt;
+  State.Metrics.latencyOf("fulmar_request_seconds").record(Elapsed);
+  State.Metrics
+      .counterOf("fulmar_requests_total",
+                 "status=\"" + std::to_string(Answer.Status) + "\"")
+      .add();
+  const handler Done = std::exchange(OnDone, {});
+  if (Done)
+    Done(std::move(Answer));
+}
+
+void exchange::cancel() {
+  if (!OnDone)
+    return;
+  OnDone = {};
+  dropLooks();
+  dropAttempts(attempt_quality::Cancelled);
+  Overall.cancel();
+  RoundTimer.cancel();
+  HedgeTimer.cancel();
+  Choosing = false;
+  --State.Running;
+  State.Metrics.counterOf("fulmar_requests_abandoned_total").add();
+}
+
+void exchange::dropLooks() {
+  for (const auto &Look : Looks)
+    Look->release();
+  Looks.clear();
+}
+
+void exchange::dropAttempts(attempt_quality Quality) {
+  for (attempt &Attempt : Attempts) {
+    if (!Attempt.Running)
+      continue;
+    Attempt.Running = false;
+    if (Attempt.Channel)
+      Attempt.Channel->close();
+    Attempt.Channel.reset();
+    const base::instant Now = State.Loop.now();
+    Service->Placement.ended(Attempt.Target, Quality, Now - Attempt.SentAt,
+                             Now);
+  }
+}
+
+void exchange::log(const front_answer &Answer, std::string_view Cause) const {
+  telemetry::logChange(
+      telemetry::log_level::Warning, "gateway", "request-failed",
+      {{"request", RequestId},
+       {"route", Route == nullptr ? "" : Route->Name},
+       {"plan", Plan ? std::to_string(Plan->Version) : "none"},
+       {"status", std::to_string(Answer.Status)},
+       {"cause", std::string(Cause)},
+       {"sends", std::to_string(Attempts.size())},
+       {"last_target", Attempts.empty() ? "" : Attempts.back().Target},
+       {"elapsed_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           State.Loop.now() - Request.ArrivedAt)
+                           .count())}});
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -0,0 +1,195 @@
+// Links to the control instances, and decoding of what they publish.
+
+#include "fulmar/gateway/fleetfeed.h"
+
+#include "fulmar/telemetry/log.h"
+
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <memory>
+
+namespace fulmar::gateway {
+
+namespace {
+
+/// Three of these fit into the silence after which an entry is not named to
+/// callers.
+constexpr auto AnnounceInterval = std::chrono::milliseconds(400);
+constexpr auto TickInterval = std::chrono::milliseconds(100);
+/// A question without an answer is asked again at any instance.
+constexpr auto FetchLimit = std::chrono::milliseconds(300);
+
+Json::Value parse(const std::string &Text) {
+  Json::Value Value;
+  std::string Faults;
+  const Json::CharReaderBuilder Builder;
+  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Value, &Faults))
+    return {};
+  return Value;
+}
+
+std::string nameIn(const publication::item &Item, std::string_view Prefix) {
+  return Item.Key.substr(Prefix.size());
+}
+
+} // namespace
+
+fleet_feed::fleet_feed(eventloop::loop &OwningLoop, fleet_feed_options Chosen,
+                       view_handler Changed)
+    : Loop(OwningLoop), Options(std::move(Chosen)),
+      OnChange(std::move(Changed)), Ticker(Loop), Announcer(Loop) {
+  addSeeds(Options.Seeds);
+  Ticker.every(TickInterval, [this] { tick(); });
+  Announcer.every(AnnounceInterval, [this] { announce(); });
+}
+
+void fleet_feed::addSeeds(const std::vector<std::string> &Seeds) {
+  for (const std::string &Seed : Seeds)
+    dial(Seed);
+}
+
+void fleet_feed::dial(const std::string &Address) {
+  if (Links.contains(Address))
+    return;
+  Links[Address].Dialer = std::make_unique<eventloop::frame_dialer>(
+      Loop, eventloop::frame_dialer::options{.Address = Address},
+      eventloop::frame_dialer::handlers{
+          .Connected =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Info, "feed",
+                                     "control-connected",
+                                     {{"control", Address}});
+                announce();
+              },
+          .Frame =
+              [this, Address](std::string_view Frame) {
+                onFrame(Address, Frame);
+              },
+          .Lost =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Warning, "feed",
+                                     "control-lost", {{"control", Address}});
+                Links[Address].Latest = 0;
+              }});
+}
+
+void fleet_feed::onFrame(const std::string &From, std::string_view Frame) {
+  const auto Message = fleetlink::decodeLink(Frame);
+  if (!Message) {
+    telemetry::logChange(telemetry::log_level::Warning, "feed",
+                         "link-malformed",
+                         {{"error", Message.error().Message}});
+    return;
+  }
+  if (const auto *Notice =
+          std::get_if<fleetlink::log_notice>(&Message.value()))
+    take(From, *Notice);
+  else if (const auto *Reply =
+               std::get_if<fleetlink::fetch_reply>(&Message.value()))
+    take(*Reply);
+}
+
+void fleet_feed::take(const std::string &From,
+                      const fleetlink::log_notice &Notice) {
+  control_link &Link = Links[From];
+  Link.DataCentre = Notice.DataCentre;
+  Link.Latest = Notice.Latest;
+  for (const std::string &Address : Notice.Controls)
+    dial(Address);
+  fetchIfBehind(false);
+}
+
+void fleet_feed::fetchIfBehind(bool FromAnywhere) {
+  if (Fetching && Loop.now() - FetchedAt < FetchLimit)
+    return;
+  const publication::serial Known = Items.latest();
+  control_link *Best = nullptr;
+  for (auto &[Address, Link] : Links) {
+    const bool Local = Link.DataCentre == Options.Self.DataCentre;
+    if (Link.Dialer->connected() && (Link.Latest > Known || WantsAll) &&
+        (Local || FromAnywhere || Known == 0) &&
+        (Best == nullptr || Link.Latest > Best->Latest))
+      Best = &Link;
+  }
+  if (Best == nullptr)
+    return;
+  Fetching = true;
+  FetchedAt = Loop.now();
+  Best->Dialer->send(fleetlink::encodeLink(
+      fleetlink::fetch_request{WantsAll ? 0 : Known}));
+}
+
+void fleet_feed::take(const fleetlink::fetch_reply &Reply) {
+  Fetching = false;
+  const publication::serial Before = Items.latest();
+  const auto Merged = Items.merge(Reply.Changes);
+  WantsAll = !Merged;
+  if (!Merged)
+    telemetry::logChange(telemetry::log_level::Warning, "feed",
+                         "changes-refused", {{"error", Merged.error().Message}});
+  if (Items.latest() != Before)
+    decode();
+  fetchIfBehind(false);
+}
+
+void fleet_feed::tick() { fetchIfBehind(true); }
+
+void fleet_feed::announce() {
+  sendAll(fleetlink::entry_notice{.Report = Options.Self, .Ready = Ready});
+}
+
+void fleet_feed::sendAll(const fleetlink::link_message &Message) {
+  const std::string Bytes = fleetlink::encodeLink(Message);
+  for (auto &[Address, Link] : Links)
+    Link.Dialer->send(Bytes);
+}
+
+void fleet_feed::setReady(bool IsReady) {
+  if (std::exchange(Ready, IsReady) != IsReady)
+    announce();
+}
+
+void fleet_feed::setStopping() {
+  Options.Self.Stopping = true;
+  announce();
+}
+
+void fleet_feed::reportCrash(const controlstate::crash_command &Crash) {
+  // Any one instance passes it on; the state ignores repetitions.
+  sendAll(fleetlink::crash_notice{Crash});
+}
+
+void fleet_feed::decode() {
+  fleet_view Next{.Serial = Items.latest(), .Plan = View.Plan};
+  if (const auto Plan = Items.value(publication::PlanKey)) {
+    auto Decoded = fleet::decodePlan(*Plan);
+    if (!Decoded)
+      telemetry::logChange(telemetry::log_level::Error, "feed",
+                           "plan-malformed",
+                           {{"error", Decoded.error().Message}});
+    // A plan never goes back while this process runs.
+    else if (!Next.Plan || Decoded.value().Version > Next.Plan->Version)
+      Next.Plan = std::make_shared<const fleet::routing_plan>(
+          std::move(Decoded).value());
+  }
+  for (const auto &Item : Items.withPrefix(publication::DataCentrePrefix)) {
+    if (parse(Item.Value)["state"].asString() == "out")
+      Next.DataCentresOut.insert(nameIn(Item, publication::DataCentrePrefix));
+  }
+  for (const auto &Item : Items.withPrefix(publication::TargetPrefix)) {
+    auto Target = fleet::decodeTarget(Item.Value);
+    if (Target && Target.value().Phase == fleet::target_phase::Serving &&
+        !Next.DataCentresOut.contains(Target.value().DataCentre))
+      Next.Targets.push_back(std::move(Target).value());
+  }
+  for (const auto &Item : Items.withPrefix(publication::MemberPrefix))
+    Next.Entries.push_back(nameIn(Item, publication::MemberPrefix));
+  for (const auto &Item : Items.withPrefix(publication::QuarantinePrefix))
+    Next.Quarantined.insert(nameIn(Item, publication::QuarantinePrefix));
+  View = std::move(Next);
+  OnChange(View);
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/internal/frontsession.cpp
@@ -0,0 +1,257 @@
+// Reading, serving and writing on a caller's connection.
+
+#include "internal/frontsession.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace fulmar::gateway {
+
+namespace {
+
+/// Bytes of further requests that are read while one is being served.
+constexpr std::size_t MaxPendingBytes = std::size_t(64) << 10;
+/// A caller that does not read its answer is given up after this.
+constexpr base::duration WriteLimit = std::chrono::seconds(20);
+/// Time that a stopping gateway leaves an idle connection for a request that
+/// is already on its way.
+constexpr base::duration StopIdle = std::chrono::milliseconds(300);
+
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+
+} // namespace
+
+front_session::front_session(gateway_state &Owner, tcp::socket Accepted)
+    : State(Owner), Socket(std::move(Accepted)), WaitSince(Owner.Loop.now()) {
+  eventloop::tuneSocket(Socket);
+}
+
+void front_session::start() {
+  resetParser();
+  read();
+}
+
+fleet::caller_limits front_session::limits() const {
+  const auto &Plan = State.Routes.plan();
+  return Plan ? Plan->Limits : fleet::caller_limits();
+}
+
+void front_session::resetParser() {
+  const fleet::caller_limits Limits = limits();
+  Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
+  Parser->body_limit(Limits.MaxBodyBytes);
+  Begun = false;
+  HeadDone = false;
+  ContinueSent = false;
+  WaitSince = State.Loop.now();
+}
+
+bool front_session::wantsRead() const {
+  return !Closed && !Reading && Pending.size() < MaxPendingBytes;
+}
+
+void front_session::read() {
+  if (!wantsRead())
+    return;
+  Reading = true;
+  Socket.async_read_some(
+      asio::buffer(Chunk),
+      [Self = shared_from_this()](error_code Failed, std::size_t Count) {
+        Self->Reading = false;
+        if (Self->Closed)
+          return;
+        if (Failed)
+          return Self->close();
+        Self->take({Self->Chunk.data(), Count});
+        Self->read();
+      });
+}
+
+void front_session::take(std::string_view Bytes) {
+  Pending.append(Bytes);
+  if (!Exchange && !Writing)
+    parse();
+}
+
+void front_session::parse() {
+  while (!Closed && !Exchange && !Writing && !Pending.empty()) {
+    Begun = true;
+    error_code Failed;
+    const std::size_t Taken = Parser->put(asio::buffer(Pending), Failed);
+    Pending.erase(0, Taken);
+    if (Failed && Failed != http::error::need_more)
+      return onParseError(Failed);
+    if (Parser->is_header_done() && !HeadDone) {
+      HeadDone = true;
+      WaitSince = State.Loop.now();
+    }
+    if (Taken > 0 && HeadDone)
+      WaitSince = State.Loop.now();
+    holdBytes(Parser->get().body().size());
+    if (State.HeldBytes > State.Options.MaxHeldBytes && !Parser->is_done())
+      return refuse(503, "out-of-memory");
+    if (Parser->is_done())
+      return onRequest();
+    const bool Expects =
+        HeadDone && !headerOf(Parser->get(), "Expect").empty();
+    if (Expects && !std::exchange(ContinueSent, true)) {
+      // Small enough for the socket's buffer.
+      error_code Ignored;
+      asio::write(Socket,
+                  asio::buffer(std::string_view(
+                      "HTTP/1.1 100 Continue\r\n\r\n")),
+                  Ignored);
+    }
+    if (Taken == 0)
+      return;
+  }
+}
+
+void front_session::holdBytes(std::size_t Bytes) {
+  State.HeldBytes += Bytes;
+  State.HeldBytes -= Held;
+  Held = Bytes;
+}
+
+void front_session::onParseError(error_code Failed) {
+  if (Failed == http::error::header_limit)
+    return refuse(431, "header-too-large");
+  if (Failed == http::error::body_limit)
+    return refuse(413, "request-too-large");
+  refuse(400, "bad-request");
+}
+
+void front_session::onRequest() {
+  auto Message = Parser->release();
+  KeepAlive = Message.keep_alive();
+  HeadOnly = Message.method() == http::verb::head;
+  front_request Request{
+      .Method = std::string(Message.method_string()),
+      .Target = std::string(Message.target()),
+      .Fields = std::move(Message.base()),
+      .Body = std::make_shared<const std::string>(std::move(Message.body())),
+      .ArrivedAt = State.Loop.now()};
+  Exchange = std::make_shared<exchange>(State, std::move(Request));
+  // The exchange may end within start().
+  const auto Started = Exchange;
+  Started->start([Self = weak_from_this()](front_answer Answer) {
+    if (const auto Session = Self.lock())
+      Session->answer(std::move(Answer));
+  });
+}
+
+void front_session::answer(front_answer Answer) {
+  Exchange.reset();
+  holdBytes(0);
+  const bool Keep = KeepAlive && !State.Stopping;
+  std::string Head = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
+  Head += Answer.Reason.empty()
+              ? std::string(http::obsolete_reason(
+                    static_cast<http::status>(Answer.Status)))
+              : Answer.Reason;
+  Head += "\r\n" + Answer.Headers;
+  const bool Bodiless = Answer.Status == NoContent ||
+                        Answer.Status == NotModified;
+  if (HeadOnly && !Answer.ContentLength.empty())
+    appendHeader(Head, "Content-Length", Answer.ContentLength);
+  else if (!Bodiless)
+    appendHeader(Head, "Content-Length", std::to_string(Answer.Body.size()));
+  if (!Keep)
+    appendHeader(Head, "Connection", "close");
+  Head += "\r\n";
+  if (HeadOnly)
+    Answer.Body.clear();
+  write(std::move(Head), std::move(Answer.Body), Keep);
+}
+
+void front_session::refuse(unsigned Status, std::string_view Error) {
+  KeepAlive = false;
+  HeadOnly = false;
+  Pending.clear();
+  State.Metrics
+      .counterOf("fulmar_requests_malformed_total",
+                 "error=\"" + std::string(Error) + "\"")
+      .add();
+  answer({.Status = Status,
+          .Headers = "Content-Type: application/json\r\n",
+          .Body = "{\"error\":\"" + std::string(Error) + "\"}"});
+}
+
+void front_session::write(std::string Head, std::string Body, bool Keep) {
+  Writing = true;
+  WaitSince = State.Loop.now();
+  struct parts {
+    std::string Head;
+    std::string Body;
+  };
+  const auto Parts =
+      std::make_shared<parts>(parts{std::move(Head), std::move(Body)});
+  const std::array<asio::const_buffer, 2> Buffers = {asio::buffer(Parts->Head),
+                                                     asio::buffer(Parts->Body)};
+  asio::async_write(Socket, Buffers,
+                    [Self = shared_from_this(), Parts,
+                     Keep](error_code Failed, std::size_t /*Count*/) {
+                      if (Self->Closed)
+                        return;
+                      if (Failed)
+                        return Self->close();
+                      Self->onWritten(Keep);
+                    });
+}
+
+void front_session::onWritten(bool Keep) {
+  Writing = false;
+  if (!Keep) {
+    error_code Ignored;
+    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+    return close();
+  }
+  resetParser();
+  parse();
+  read();
+}
+
+void front_session::sweep() {
+  if (Closed || Exchange)
+    return;
+  const base::duration Waited = State.Loop.now() - WaitSince;
+  const fleet::caller_limits Limits = limits();
+  if (Writing) {
+    if (Waited > WriteLimit)
+      close();
+    return;
+  }
+  if (idle()) {
+    const base::duration Limit =
+        State.Stopping ? StopIdle
+                       : base::duration(std::chrono::milliseconds(
+                             Limits.IdleTimeoutMs));
+    if (Waited > Limit)
+      close();
+    return;
+  }
+  const std::int64_t LimitMs =
+      HeadDone ? Limits.IdleTimeoutMs : Limits.HeaderTimeoutMs;
+  if (Waited > std::chrono::milliseconds(LimitMs))
+    refuse(408, "request-timeout");
+}
+
+void front_session::close() {
+  if (std::exchange(Closed, true))
+    return;
+  holdBytes(0);
+  if (const auto Running = std::exchange(Exchange, {}))
+    Running->cancel();
+  error_code Ignored;
+  Socket.close(Ignored);
+  // May be the last reference but the caller's.
+  State.Loop.post([Self = shared_from_this()] {
+    Self->State.Sessions.erase(Self);
+  });
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/internal/frontsession.h
@@ -0,0 +1,74 @@
+// One caller's connection: reads requests one after the other, and writes
+// their answers in that order. It always reads, so that it notices at once
+// when the caller leaves.
+
+#ifndef FULMAR_GATEWAY_INTERNAL_FRONTSESSION_H
+#define FULMAR_GATEWAY_INTERNAL_FRONTSESSION_H
+
+#include "internal/exchange.h"
+#include "internal/gatewaystate.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fulmar::gateway {
+
+class front_session : public std::enable_shared_from_this<front_session> {
+public:
+  front_session(gateway_state &Owner, tcp::socket Accepted);
+
+  void start();
+  /// Closes the connection if it takes too long over a request, or is idle for
+  /// too long or while the gateway is stopping.
+  void sweep();
+  void close();
+  /// Between two requests, with nothing of the next one read.
+  [[nodiscard]] bool idle() const {
+    return !Exchange && !Writing && Pending.empty() && !Begun;
+  }
+
+private:
+  using parser = http::request_parser<http::string_body>;
+
+  void read();
+  void take(std::string_view Bytes);
+  void parse();
+  void resetParser();
+  void onParseError(error_code Failed);
+  void onRequest();
+  void answer(front_answer Answer);
+  void refuse(unsigned Status, std::string_view Error);
+  void write(std::string Head, std::string Body, bool Keep);
+  void onWritten(bool Keep);
+  void holdBytes(std::size_t Bytes);
+  [[nodiscard]] bool wantsRead() const;
+  [[nodiscard]] fleet::caller_limits limits() const;
+
+  gateway_state &State;
+  tcp::socket Socket;
+  std::optional<parser> Parser;
+  std::array<char, 16'384> Chunk{};
+  /// Bytes behind the request that is being served.
+  std::string Pending;
+  /// Some byte of the next request has been parsed.
+  bool Begun = false;
+  bool HeadDone = false;
+  bool ContinueSent = false;
+  bool Reading = false;
+  bool Writing = false;
+  bool Closed = false;
+  bool KeepAlive = true;
+  bool HeadOnly = false;
+  /// Counted in the gateway's HeldBytes.
+  std::size_t Held = 0;
+  /// When the present wait began: for a request, its head, its body, or for
+  /// the caller to read its answer.
+  base::instant WaitSince{};
+  std::shared_ptr<exchange> Exchange;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_INTERNAL_FRONTSESSION_H
--- /dev/null
+++ b/modules/gateway/internal/gateway.cpp
@@ -0,0 +1,193 @@
+// The gateway's set-up, its regular work, and its end.
+
+#include "fulmar/gateway/gateway.h"
+
+#include "fulmar/telemetry/log.h"
+#include "internal/frontsession.h"
+#include "internal/gatewaystate.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+#include <random>
+
+namespace fulmar::gateway {
+
+namespace {
+
+constexpr auto SweepInterval = std::chrono::milliseconds(250);
+constexpr auto EvaluateInterval = std::chrono::milliseconds(500);
+/// Callers are still taken for this part of the grace after the order to stop:
+/// they keep an answer of the directory for some seconds.
+constexpr double AcceptShare = 0.4;
+/// Part of the grace after which whatever still runs is left.
+constexpr double EndShare = 0.95;
+constexpr auto StopPoll = std::chrono::milliseconds(50);
+
+base::duration partOf(base::duration Whole, double Part) {
+  return base::duration(static_cast<base::duration::rep>(
+      static_cast<double>(Whole.count()) * Part));
+}
+
+void accept(gateway_state &State) {
+  State.Acceptor->async_accept([&State](error_code Failed,
+                                        tcp::socket Socket) {
+    if (Failed == asio::error::operation_aborted)
+      return;
+    if (!Failed) {
+      const auto Session =
+          std::make_shared<front_session>(State, std::move(Socket));
+      State.Sessions.insert(Session);
+      Session->start();
+    }
+    accept(State);
+  });
+}
+
+void sweep(gateway_state &State) {
+  State.Pool.sweep();
+  // Closing a session takes it out of the set later.
+  for (const auto &Session : State.Sessions)
+    Session->sweep();
+}
+
+void applyPlan(gateway_state &State,
+               const std::shared_ptr<const fleet::routing_plan> &Plan) {
+  if (!Plan || Plan == State.Routes.plan())
+    return;
+  State.Routes = fleet::route_table(Plan);
+  std::map<std::string, service_ptr> Services;
+  for (const fleet::service &Service : Plan->Services) {
+    service_ptr Kept = State.serviceOf(Service.Name);
+    if (Kept) {
+      Kept->Service = Service;
+      Kept->Placement.setWarmUpRate(Service.WarmUpRate);
+    } else {
+      Kept = std::make_shared<service_state>(
+          Service,
+          placement::placement_options{.DataCentre = State.Options.DataCentre,
+                                       .WarmUpRate = Service.WarmUpRate,
+                                       .Seed = State.Random()},
+          State.Cold, State.Options.RetryBudget);
+    }
+    Services[Service.Name] = std::move(Kept);
+  }
+  State.Services = std::move(Services);
+  std::map<std::string, share_sequence> Shares;
+  for (const fleet::route &Route : Plan->Routes) {
+    if (Route.Shares.size() > 1)
+      Shares.emplace(Route.Name, share_sequence(absl::Uniform(
+                                     State.Random, 0.0, 1.0)));
+  }
+  State.Shares = std::move(Shares);
+  telemetry::logChange(telemetry::log_level::Info, "gateway", "plan-in-force",
+                       {{"version", std::to_string(Plan->Version)},
+                        {"routes", std::to_string(Plan->Routes.size())}});
+}
+
+void applyTargets(gateway_state &State, const fleet_view &View) {
+  const base::instant Now = State.Loop.now();
+  std::map<std::string, std::vector<fleet::target_report>> ByService;
+  std::set<std::string> Keys;
+  for (const fleet::target_report &Target : View.Targets) {
+    ByService[Target.Service].push_back(Target);
+    Keys.insert(channel_pool::keyOf(Target));
+  }
+  for (auto &[Name, Service] : State.Services) {
+    Service->Placement.setTargets(ByService[Name], Now);
+    Service->Retries.setEntries(View.Entries.size());
+  }
+  State.Pool.keepOnly(Keys);
+  State.Probes.setFleet(View.Targets.size(), View.Entries.size());
+}
+
+} // namespace
+
+gateway_state::gateway_state(eventloop::loop &OwningLoop,
+                             gateway_options Chosen,
+                             telemetry::metrics &Registry)
+    : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
+      Random(std::random_device()()), Pool(Loop, Options.Dialect, Metrics),
+      Cold(Options.InstanceId), Probes(Options.ProbesPerTarget), Sweeper(Loop),
+      Evaluator(Loop), StopTimer(Loop) {}
+
+service_ptr gateway_state::serviceOf(const std::string &Name) const {
+  const auto Found = Services.find(Name);
+  return Found == Services.end() ? nullptr : Found->second;
+}
+
+const std::string &share_sequence::next(const fleet::route &Route) {
+  // Steps of the golden ratio fill any interval evenly.
+  constexpr double GoldenRatio = 0.6180339887498949;
+  Position += GoldenRatio;
+  if (Position >= 1)
+    Position -= 1;
+  double Sum = 0;
+  for (const fleet::route_share &Share : Route.Shares)
+    Sum += Share.Weight;
+  double Rest = Position * Sum;
+  for (const fleet::route_share &Share : Route.Shares) {
+    if (Rest < Share.Weight)
+      return Share.Service;
+    Rest -= Share.Weight;
+  }
+  return Route.Shares.back().Service;
+}
+
+gateway::gateway(eventloop::loop &OwningLoop, gateway_options Chosen,
+                 telemetry::metrics &Registry)
+    : State(std::make_unique<gateway_state>(OwningLoop, std::move(Chosen),
+                                            Registry)) {}
+
+gateway::~gateway() = default;
+
+base::result<void> gateway::start() {
+  BOOST_OUTCOME_TRY(Listening,
+                    eventloop::listenOn(State->Loop, State->Options.Listen));
+  State->Acceptor = std::make_unique<tcp::acceptor>(std::move(Listening));
+  accept(*State);
+  State->Sweeper.every(SweepInterval, [this] { sweep(*State); });
+  State->Evaluator.every(EvaluateInterval, [this] {
+    for (const auto &[Name, Service] : State->Services)
+      Service->Placement.evaluate(State->Loop.now());
+  });
+  return base::success();
+}
+
+void gateway::apply(const fleet_view &View) {
+  applyPlan(*State, View.Plan);
+  State->Cold.setEntries(View.Entries);
+  State->Quarantined = View.Quarantined;
+  applyTargets(*State, View);
+}
+
+bool gateway::ready() const {
+  return !State->Stopping && State->Routes.plan() != nullptr &&
+         std::any_of(State->Services.begin(), State->Services.end(),
+                     [](const auto &Entry) {
+                       return Entry.second->Placement.size() > 0;
+                     });
+}
+
+void gateway::stop(std::function<void()> Done) {
+  State->Stopping = true;
+  State->Stopped = std::move(Done);
+  const base::instant Begun = State->Loop.now();
+  const base::duration Grace = State->Options.Grace;
+  State->StopTimer.every(StopPoll, [this, Begun, Grace] {
+    const base::duration Elapsed = State->Loop.now() - Begun;
+    const bool Accepting = Elapsed < partOf(Grace, AcceptShare);
+    error_code Ignored;
+    if (!Accepting && State->Acceptor->is_open())
+      State->Acceptor->close(Ignored);
+    const bool Quiet = !Accepting && State->Running == 0 &&
+                       State->Sessions.empty();
+    if (!Quiet && Elapsed < partOf(Grace, EndShare))
+      return;
+    State->StopTimer.cancel();
+    if (const auto Call = std::exchange(State->Stopped, {}))
+      Call();
+  });
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/internal/gatewaystate.h
@@ -0,0 +1,83 @@
+// What the sessions and exchanges of one gateway share.
+
+#ifndef FULMAR_GATEWAY_INTERNAL_GATEWAYSTATE_H
+#define FULMAR_GATEWAY_INTERNAL_GATEWAYSTATE_H
+
+#include "fulmar/fleet/routetable.h"
+#include "fulmar/gateway/gateway.h"
+#include "fulmar/placement/probebudget.h"
+#include "fulmar/placement/serviceplacement.h"
+#include "fulmar/placement/windowbudget.h"
+#include "internal/channelpool.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace fulmar::gateway {
+
+class front_session;
+
+/// One service as the gateway sees it.
+struct service_state {
+  service_state(fleet::service Described, placement::placement_options Options,
+                placement::cold_limiter &Cold,
+                const placement::window_budget_options &Budget)
+      : Service(std::move(Described)), Placement(std::move(Options), Cold),
+        Retries(Budget) {}
+
+  fleet::service Service;
+  placement::service_placement Placement;
+  placement::window_budget Retries;
+};
+
+using service_ptr = std::shared_ptr<service_state>;
+
+/// How requests of one route are divided over its services.
+class share_sequence {
+public:
+  explicit share_sequence(double First) : Position(First) {}
+
+  /// The next request's service; even over any few requests.
+  const std::string &next(const fleet::route &Route);
+
+private:
+  /// In [0, 1).
+  double Position;
+};
+
+struct gateway_state {
+  gateway_state(eventloop::loop &OwningLoop, gateway_options Chosen,
+                telemetry::metrics &Registry);
+
+  [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
+
+  eventloop::loop &Loop;
+  gateway_options Options;
+  telemetry::metrics &Metrics;
+  base::random_source Random;
+  channel_pool Pool;
+  placement::cold_limiter Cold;
+  placement::probe_budget Probes;
+  fleet::route_table Routes;
+  std::map<std::string, service_ptr> Services;
+  /// By route name.
+  std::map<std::string, share_sequence> Shares;
+  std::set<std::string> Quarantined;
+  std::unique_ptr<tcp::acceptor> Acceptor;
+  std::set<std::shared_ptr<front_session>> Sessions;
+  /// Bytes of request bodies in memory.
+  std::size_t HeldBytes = 0;
+  /// Requests that are being served.
+  std::size_t Running = 0;
+  bool Stopping = false;
+  std::function<void()> Stopped;
+  eventloop::timer Sweeper;
+  eventloop::timer Evaluator;
+  eventloop::timer StopTimer;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_INTERNAL_GATEWAYSTATE_H
--- /dev/null
+++ b/modules/gateway/internal/httptypes.h
@@ -0,0 +1,44 @@
+// Shared names of Boost.Beast, and the few operations on headers that the
+// gateway needs.
+
+#ifndef FULMAR_GATEWAY_INTERNAL_HTTPTYPES_H
+#define FULMAR_GATEWAY_INTERNAL_HTTPTYPES_H
+
+#include "fulmar/eventloop/loop.h"
+
+#include <boost/beast/http.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fulmar::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using eventloop::error_code;
+using eventloop::tcp;
+
+using shared_body = std::shared_ptr<const std::string>;
+
+/// Value of a header; empty when it is missing.
+std::string_view headerOf(const http::fields &Fields, std::string_view Name);
+
+/// A header that concerns one connection only, or is one of those that
+/// Connection names.
+bool isHopByHop(const http::fields &Fields, std::string_view Name);
+
+/// Appends "Name: Value\r\n".
+void appendHeader(std::string &Head, std::string_view Name,
+                  std::string_view Value);
+
+/// Whole number without sign; empty when \p Text is anything else.
+std::optional<std::uint64_t> parseWhole(std::string_view Text);
+
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_INTERNAL_HTTPTYPES_H
--- /dev/null
+++ b/modules/gateway/internal/look.cpp
@@ -0,0 +1,137 @@
+// Sends the health request and reads what it tells.
+
+#include "internal/look.h"
+
+#include <charconv>
+#include <vector>
+
+namespace fulmar::gateway {
+
+namespace {
+
+/// A target that does not answer a look for this long is left alone: far above
+/// the round trip, below the shortest time in which requests are wanted.
+constexpr base::duration SilenceLimit = std::chrono::milliseconds(250);
+/// A target that says it is leaving or failing.
+constexpr base::duration UnhealthyPause = std::chrono::milliseconds(500);
+/// Another target answered at the address.
+constexpr base::duration MisdirectedPause = std::chrono::seconds(2);
+constexpr unsigned StatusOk = 200;
+constexpr double PercentAsUsual = 100;
+
+std::vector<double> numbersIn(std::string_view List) {
+  std::vector<double> Numbers;
+  while (!List.empty()) {
+    const auto Comma = List.find(',');
+    std::string_view Part = List.substr(0, Comma);
+    while (!Part.empty() && Part.front() == ' ')
+      Part.remove_prefix(1);
+    double Number = 0;
+    const auto Read =
+        std::from_chars(Part.data(), Part.data() + Part.size(), Number);
+    if (Read.ec != std::errc() || Number < 0)
+      return {};
+    Numbers.push_back(Number);
+    List.remove_prefix(Comma == std::string_view::npos ? List.size()
+                                                       : Comma + 1);
+  }
+  return Numbers;
+}
+
+} // namespace
+
+look::look(gateway_state &Owner, service_ptr Looked,
+           const fleet::target_report &At)
+    : State(Owner), Service(std::move(Looked)), Target(At),
+      Silence(Owner.Loop) {}
+
+void look::start(std::function<void()> Done) {
+  OnDone = std::move(Done);
+  Channel = State.Pool.acquire(Target);
+  if (!Channel)
+    return finish();
+  std::string Head = "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
+  appendHeader(Head, "Host", Target.Address);
+  Head += "\r\n";
+  Silence.after(SilenceLimit,
+                [Self = shared_from_this()] { Self->onSilence(); });
+  Channel->call({.Head = std::move(Head)},
+                [Self = shared_from_this()](
+                    const base::result<target_answer> &Answer) {
+                  Self->onAnswer(Answer);
+                });
+}
+
+void look::onAnswer(const base::result<target_answer> &Answer) {
+  Silence.cancel();
+  const base::instant Now = State.Loop.now();
+  if (!Answer) {
+    Service->Placement.unreachable(Target.Id, Now);
+    return finish();
+  }
+  const target_answer &Told = Answer.value();
+  const auto Id = headerOf(Told.Fields, State.Options.Dialect.TargetId);
+  if (Id != Target.Id)
+    Service->Placement.standBack(Target.Id, MisdirectedPause, Now);
+  else if (Told.Status != StatusOk)
+    Service->Placement.standBack(Target.Id, UnhealthyPause, Now);
+  else
+    readLoad(Told.Fields);
+  finish();
+}
+
+void look::readLoad(const http::fields &Fields) {
+  const dialect &Names = State.Options.Dialect;
+  const auto Numbers = numbersIn(headerOf(Fields, Names.Load));
+  if (Numbers.size() >= 3) {
+    Load.Running = static_cast<std::uint32_t>(Numbers[0]);
+    Load.Waiting = static_cast<std::uint32_t>(Numbers[1]);
+    Load.Slots = static_cast<std::uint32_t>(Numbers[2]);
+  }
+  if (Numbers.size() >= 4)
+    Load.Slowdown = Numbers[3] / PercentAsUsual;
+  if (const auto Cold = parseWhole(headerOf(Fields, Names.ColdLeft)))
+    Load.ColdLeft = std::chrono::milliseconds(*Cold);
+  Good = true;
+  AnsweredAt = State.Loop.now();
+  InFlightThen = Service->Placement.inFlight(Target.Id);
+  Service->Placement.probed(Target.Id, Load, AnsweredAt);
+}
+
+void look::onSilence() {
+  Service->Placement.unreachable(Target.Id, State.Loop.now());
+  if (Channel)
+    Channel->close();
+  finish();
+}
+
+void look::finish() {
+  Finished = true;
+  if (!Good && Channel) {
+    State.Pool.release(Channel);
+    Channel.reset();
+  }
+  if (Released)
+    release();
+  const auto Done = std::exchange(OnDone, {});
+  if (Done)
+    Done();
+}
+
+void look::release() {
+  Released = true;
+  OnDone = {};
+  if (Finished && Channel) {
+    State.Pool.release(Channel);
+    Channel.reset();
+  }
+}
+
+placement::hidden_requests look::hidden() const {
+  const auto Now = Service->Placement.inFlight(Target.Id);
+  return Now > InFlightThen ? Now - InFlightThen : 0;
+}
+
+channel_ptr look::takeChannel() { return std::exchange(Channel, {}); }
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/placement/include/fulmar/placement/loadreport.h
@@ -0,0 +1,47 @@
+// How loaded a target says it is, and how much longer than usual a request
+// would take there.
+//
+// Answers load whose targets share machines with others: how long work takes
+// changes several times a second, so that only a report of the last
+// milliseconds is worth comparing.
+
+#ifndef FULMAR_PLACEMENT_LOADREPORT_H
+#define FULMAR_PLACEMENT_LOADREPORT_H
+
+#include "fulmar/base/time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace fulmar::placement {
+
+struct load_report {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  /// 0 when the target does not tell its load.
+  std::uint32_t Slots = 0;
+  /// How long work takes now, relative to usual.
+  double Slowdown = 1;
+  /// How much longer the target stays cold.
+  base::duration ColdLeft{};
+
+  friend auto operator<=>(const load_report &, const load_report &) = default;
+};
+
+/// Requests of this entry at the target that the report may not show yet.
+using hidden_requests = std::uint32_t;
+
+/// Expected time of a request relative to one on an idle, undisturbed target;
+/// 1 is best.
+double expectedTime(const load_report &Load, hidden_requests Hidden);
+
+/// A target that is neither disturbed nor crowded: no better one need be
+/// looked for.
+bool isGood(const load_report &Load, hidden_requests Hidden);
+
+/// So many requests wait that a further one would be late or rejected.
+bool isFull(const load_report &Load, hidden_requests Hidden);
+
+} // namespace fulmar::placement
+
+#endif // FULMAR_PLACEMENT_LOADREPORT_H
--- /dev/null
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -0,0 +1,110 @@
+// Which targets of one service to look at for a request, and which to use.
+//
+// Answers loads in which a target turns slow, full, cold, faulty or silent
+// between two requests: a request looks at a few targets just before it is
+// sent, in its own data centre first, and takes the best. Targets that fail,
+// stall or answer slower than their peers lose their share and earn it back;
+// cold ones are used only where no warm one is left.
+
+#ifndef FULMAR_PLACEMENT_SERVICEPLACEMENT_H
+#define FULMAR_PLACEMENT_SERVICEPLACEMENT_H
+
+#include "fulmar/base/identifier.h"
+#include "fulmar/base/random.h"
+#include "fulmar/fleet/targetreport.h"
+#include "fulmar/placement/coldlimiter.h"
+#include "fulmar/placement/loadreport.h"
+#include "fulmar/routing/outlierdetector.h"
+#include "fulmar/routing/servicetimes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::placement {
+
+struct placement_options {
+  std::string DataCentre;
+  /// Requests a second that a cold target bears.
+  double WarmUpRate = 0;
+  std::uint64_t Seed = 0;
+};
+
+/// Which targets a request may be given.
+struct candidate_query {
+  /// Targets that the request has looked at or been sent to.
+  std::set<std::string> Excluded;
+  std::size_t Count = 2;
+  /// Also targets of other data centres before those of the own are used up.
+  bool Abroad = false;
+};
+
+class service_placement {
+public:
+  service_placement(placement_options Chosen, cold_limiter &Limiter);
+
+  void setWarmUpRate(double Rate) { Options.WarmUpRate = Rate; }
+  /// The targets that take new work; replaces the earlier list.
+  void setTargets(const std::vector<fleet::target_report> &Reports,
+                  base::instant Now);
+
+  /// Up to Count targets to look at, the best guesses first.
+  std::vector<std::string> candidates(const candidate_query &Query,
+                                      base::instant Now);
+
+  /// What a look at a target found.
+  void probed(const std::string &Target, const load_report &Load,
+              base::instant Now);
+  /// The target did not answer, or refused the connection.
+  void unreachable(const std::string &Target, base::instant Now);
+  /// Stands back for a while without a judgement of its health.
+  void standBack(const std::string &Target, base::duration Time,
+                 base::instant Now);
+
+  /// True when a request may be sent to \p Target now, cold or not; counts it.
+  bool admit(const std::string &Target, base::instant Now);
+  void sent(const std::string &Target);
+  void ended(const std::string &Target, routing::attempt_quality Quality,
+             base::duration Elapsed, base::instant Now);
+
+  /// Requests of this entry at the target.
+  [[nodiscard]] hidden_requests inFlight(const std::string &Target) const;
+  /// Null for a target that takes no new work.
+  [[nodiscard]] const fleet::target_report *
+  find(const std::string &Target) const;
+  [[nodiscard]] std::size_t size() const { return Targets.size(); }
+  /// Compares the targets' times and error rates.
+  void evaluate(base::instant Now) { Health.evaluate(Now); }
+  [[nodiscard]] const routing::service_times &times() const { return Times; }
+  /// False once a target answered a look without its load.
+  [[nodiscard]] bool tellsLoad() const { return TellsLoad; }
+
+private:
+  struct target {
+    fleet::target_report Report;
+    hidden_requests InFlight = 0;
+    base::instant ColdUntil{};
+    base::instant AwayUntil{};
+    /// Looks in a row that found nobody.
+    std::uint32_t Misses = 0;
+  };
+  enum class standing : std::uint8_t { Usable, Cold, Away };
+
+  [[nodiscard]] standing standingOf(const std::string &Id, const target &Held,
+                                    base::instant Now);
+
+  placement_options Options;
+  cold_limiter &Cold;
+  base::random_source Random;
+  std::map<std::string, target> Targets;
+  routing::outlier_detector Health;
+  routing::service_times Times;
+  bool TellsLoad = true;
+};
+
+} // namespace fulmar::placement
+
+#endif // FULMAR_PLACEMENT_SERVICEPLACEMENT_H
--- /dev/null
+++ b/modules/placement/internal/loadreport.cpp
@@ -0,0 +1,49 @@
+// The comparison of load reports.
+
+#include "fulmar/placement/loadreport.h"
+
+#include <algorithm>
+
+namespace fulmar::placement {
+
+namespace {
+
+/// Share of busy slots above which targets slow down. Targets' own machines
+/// saturate at about four fifths.
+constexpr double Knee = 0.8;
+/// Slowdown of a target above its knee.
+constexpr double CrowdedSlowdown = 1.7;
+/// Slowdown up to which a target counts as undisturbed.
+constexpr double GoodSlowdown = 1.25;
+
+double busyWith(const load_report &Load, hidden_requests Hidden) {
+  return static_cast<double>(Load.Running) + Load.Waiting + Hidden;
+}
+
+} // namespace
+
+double expectedTime(const load_report &Load, hidden_requests Hidden) {
+  const double Slowdown = std::max(Load.Slowdown, 0.01);
+  if (Load.Slots == 0)
+    return Slowdown * (1 + Hidden);
+  const double Busy = busyWith(Load, Hidden) + 1;
+  const double Slots = Load.Slots;
+  const double Crowding = Busy > Knee * Slots ? CrowdedSlowdown : 1;
+  const double Rounds = std::max(0.0, Busy - Slots) / Slots;
+  // Among undisturbed targets the emptier one.
+  constexpr double Tie = 0.05;
+  return Slowdown * Crowding * (1 + Rounds) + Tie * Busy / Slots;
+}
+
+bool isGood(const load_report &Load, hidden_requests Hidden) {
+  if (Load.Slots == 0)
+    return Hidden == 0;
+  return Load.Slowdown <= GoodSlowdown &&
+         busyWith(Load, Hidden) + 1 <= Knee * Load.Slots;
+}
+
+bool isFull(const load_report &Load, hidden_requests Hidden) {
+  return Load.Slots != 0 && busyWith(Load, Hidden) >= 2.0 * Load.Slots;
+}
+
+} // namespace fulmar::placement
--- /dev/null
+++ b/modules/placement/internal/probebudget.cpp
@@ -0,0 +1,36 @@
+// A token bucket that holds what one second gives.
+
+#include "fulmar/placement/probebudget.h"
+
+#include <algorithm>
+
+namespace fulmar::placement {
+
+namespace {
+
+/// Part of the bound that is used; entries don't get equal shares of requests.
+constexpr double UsedShare = 0.75;
+/// Enough for a request while no target is known.
+constexpr double MinRate = 5;
+
+} // namespace
+
+void probe_budget::setFleet(std::size_t Targets, std::size_t Entries) {
+  const double Sharers = static_cast<double>(std::max<std::size_t>(1, Entries));
+  Rate = std::max(MinRate, PerTarget * UsedShare *
+                               static_cast<double>(Targets) / Sharers);
+}
+
+std::size_t probe_budget::take(std::size_t Wanted, base::instant Now) {
+  constexpr double MicrosPerSecond = 1e6;
+  const double Elapsed =
+      static_cast<double>((Now - FilledAt).count()) / MicrosPerSecond;
+  Tokens = std::min(Rate, Tokens + Elapsed * Rate);
+  FilledAt = Now;
+  const auto Taken =
+      std::min(Wanted, static_cast<std::size_t>(std::max(0.0, Tokens)));
+  Tokens -= static_cast<double>(Taken);
+  return Taken;
+}
+
+} // namespace fulmar::placement
--- /dev/null
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -0,0 +1,180 @@
+// Keeps the targets of a service and picks candidates.
+
+#include "fulmar/placement/serviceplacement.h"
+
+#include <absl/random/distributions.h>
+
+#include <algorithm>
+
+namespace fulmar::placement {
+
+namespace {
+
+/// First pause after a target was not reachable; doubled by each further miss.
+constexpr base::duration FirstPause = std::chrono::milliseconds(200);
+/// Longest pause: a target that returns is found within two seconds.
+constexpr base::duration LongestPause = std::chrono::milliseconds(1'600);
+constexpr std::uint32_t MaxDoublings = 3;
+/// A report that tells of a cold start may have been on its way this long.
+constexpr base::duration ColdMargin = std::chrono::milliseconds(100);
+
+constexpr routing::outlier_options HealthOptions{
+    .MaxEjectedShare = 0.5,
+    .BaseEjection = std::chrono::seconds(1),
+    .MaxEjection = std::chrono::seconds(8),
+    .FirstShare = 0.25};
+
+base::target_id idOf(const std::string &Id) { return base::target_id(Id); }
+
+} // namespace
+
+service_placement::service_placement(placement_options Chosen,
+                                     cold_limiter &Limiter)
+    : Options(std::move(Chosen)), Cold(Limiter), Random(Options.Seed),
+      Health(HealthOptions) {}
+
+void service_placement::setTargets(
+    const std::vector<fleet::target_report> &Reports, base::instant Now) {
+  std::map<std::string, target> Next;
+  std::vector<base::target_id> Ids;
+  for (const fleet::target_report &Report : Reports) {
+    const auto Held = Targets.find(Report.Id);
+    const bool SameRun =
+        Held != Targets.end() &&
+        Held->second.Report.StartedAtMs == Report.StartedAtMs &&
+        Held->second.Report.Address == Report.Address;
+    target Target = SameRun ? Held->second : target{};
+    const bool News =
+        !SameRun || Held->second.Report.ColdLeftMs != Report.ColdLeftMs;
+    if (News && Report.ColdLeftMs > 0)
+      Target.ColdUntil =
+          Now + std::chrono::milliseconds(Report.ColdLeftMs) + ColdMargin;
+    Target.Report = Report;
+    if (!SameRun)
+      Health.restarted(idOf(Report.Id));
+    Next.emplace(Report.Id, std::move(Target));
+    Ids.push_back(idOf(Report.Id));
+  }
+  Targets = std::move(Next);
+  Health.setTargets(Ids, Now);
+}
+
+service_placement::standing
+service_placement::standingOf(const std::string &Id, const target &Held,
+                              base::instant Now) {
+  if (Now < Held.AwayUntil)
+    return standing::Away;
+  const routing::target_health *Judged = Health.healthOf(idOf(Id));
+  if (Judged != nullptr && Judged->Share < 1 &&
+      absl::Uniform(Random, 0.0, 1.0) >= Judged->Share)
+    return standing::Away;
+  return Now < Held.ColdUntil ? standing::Cold : standing::Usable;
+}
+
+std::vector<std::string>
+service_placement::candidates(const candidate_query &Query,
+                              base::instant Now) {
+  // In order of preference: own data centre, others, cold, away.
+  constexpr std::size_t Classes = 4;
+  std::vector<std::string> ByClass[Classes];
+  for (const auto &[Id, Held] : Targets) {
+    if (Query.Excluded.contains(Id))
+      continue;
+    const standing Standing = standingOf(Id, Held, Now);
+    const bool Local =
+        Query.Abroad || Held.Report.DataCentre == Options.DataCentre;
+    if (Standing == standing::Usable)
+      ByClass[Local ? 0 : 1].push_back(Id);
+    else if (Standing == standing::Away)
+      ByClass[3].push_back(Id);
+    else if (Cold.allows(Id, Options.WarmUpRate, Now))
+      ByClass[2].push_back(Id);
+  }
+  std::vector<std::string> Chosen;
+  for (auto &Class : ByClass) {
+    std::shuffle(Class.begin(), Class.end(), Random);
+    for (std::string &Id : Class) {
+      if (Chosen.size() < Query.Count)
+        Chosen.push_back(std::move(Id));
+    }
+    // Cold targets and absent ones only where there is nothing else.
+    const bool Warm = &Class < &ByClass[2];
+    if (Chosen.size() >= Query.Count || (!Warm && !Chosen.empty()))
+      break;
+    if (&Class == &ByClass[1] && !Chosen.empty())
+      break;
+  }
+  return Chosen;
+}
+
+void service_placement::probed(const std::string &Target,
+                               const load_report &Load, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  Found->second.Misses = 0;
+  Found->second.AwayUntil = {};
+  Found->second.ColdUntil =
+      Load.ColdLeft.count() > 0 ? Now + Load.ColdLeft : base::instant{};
+  if (Load.Slots == 0)
+    TellsLoad = false;
+}
+
+void service_placement::unreachable(const std::string &Target,
+                                    base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  const std::uint32_t Doublings =
+      std::min(MaxDoublings, Found->second.Misses++);
+  standBack(Target, std::min(LongestPause, FirstPause * (1U << Doublings)),
+            Now);
+}
+
+void service_placement::standBack(const std::string &Target,
+                                  base::duration Time, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found != Targets.end())
+    Found->second.AwayUntil = std::max(Found->second.AwayUntil, Now + Time);
+}
+
+bool service_placement::admit(const std::string &Target, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return false;
+  if (Now >= Found->second.ColdUntil)
+    return true;
+  return Cold.take(Target, Options.WarmUpRate, Now);
+}
+
+void service_placement::sent(const std::string &Target) {
+  const auto Found = Targets.find(Target);
+  if (Found != Targets.end())
+    ++Found->second.InFlight;
+}
+
+void service_placement::ended(const std::string &Target,
+                              routing::attempt_quality Quality,
+                              base::duration Elapsed, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  if (Found->second.InFlight > 0)
+    --Found->second.InFlight;
+  Health.record(idOf(Target), Quality, Elapsed, Now);
+  if (Quality == routing::attempt_quality::Good)
+    Times.record(Elapsed);
+}
+
+hidden_requests service_placement::inFlight(const std::string &Target) const {
+  const auto Found = Targets.find(Target);
+  return Found == Targets.end() ? 0 : Found->second.InFlight;
+}
+
+const fleet::target_report *
+service_placement::find(const std::string &Target) const {
+  const auto Found = Targets.find(Target);
+  return Found == Targets.end() ? nullptr : &Found->second.Report;
+}
+
+} // namespace fulmar::placement
--- a/modules/publication/include/fulmar/publication/publisheditems.h
+++ b/modules/publication/include/fulmar/publication/publisheditems.h
@@ -28,11 +28,16 @@
 inline constexpr const char *DataCentrePrefix = "data-centre/";
 inline constexpr const char *MemberPrefix = "member/";
 inline constexpr const char *QuarantinePrefix = "quarantine/";
+/// A fleet::target_report.
+inline constexpr const char *TargetPrefix = "target/";
+/// Whole key of the fleet::routing_plan in force.
+inline constexpr const char *PlanKey = "plan";
 
 struct item {
   std::string Key;
   serial Serial = 0;
-  /// JSON text; empty when the item was removed.
+  /// JSON text, or msgpack where the key says so; empty when the item was
+  /// removed.
   std::string Value;
 
   friend auto operator<=>(const item &, const item &) = default;
--- a/modules/runtime/include/fulmar/runtime/program.h
+++ b/modules/runtime/include/fulmar/runtime/program.h
@@ -30,6 +30,8 @@
   settings::schema Schema;
   /// Checks that involve several keys; returns one line for each fault.
   std::function<std::vector<std::string>(const settings::settings &)> Check;
+  /// The program handles signals itself; its stop_request sees none.
+  bool HandlesSignals = false;
 };
 
 /// Keys that every program's settings file has: section [log] and [trace].
@@ -38,8 +40,9 @@
 /// The time at which a stop was asked for, and how often.
 class stop_request {
 public:
-  /// Blocks SIGTERM and SIGINT for all threads started later.
-  stop_request();
+  /// Blocks SIGTERM and SIGINT for all threads started later, where \p Blocks
+  /// says so, and ignores SIGPIPE.
+  explicit stop_request(bool Blocks = true);
 
   /// Waits up to \p Wait for a signal; true once any has arrived. Further
   /// signals are counted and change nothing.
--- a/modules/runtime/internal/program.cpp
+++ b/modules/runtime/internal/program.cpp
@@ -90,9 +90,10 @@
   return Words;
 }
 
-stop_request::stop_request() {
+stop_request::stop_request(bool Blocks) {
   const sigset_t Signals = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  if (Blocks)
+    pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   // A peer that closes its socket must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
 }
@@ -121,7 +122,7 @@
     std::cout << absl::GetFlag(FLAGS_config) << ": settings are valid\n";
     return ExitSuccess;
   }
-  stop_request Stop;
+  stop_request Stop(!Description.HandlesSignals);
   telemetry::startLog({.Instance = Settings.value().text("instance", "id"),
                        .Level = Settings.value().text("log", "level"),
                        .File = Settings.value().text("log", "file")});
--- a/modules/telemetry/include/fulmar/telemetry/log.h
+++ b/modules/telemetry/include/fulmar/telemetry/log.h
@@ -21,7 +21,7 @@
   std::string Instance;
   /// "debug", "info", "warning" or "error".
   std::string Level = "info";
-  /// Standard error when empty.
+  /// Standard error when empty, standard output when "stdout".
   std::string File;
 };
 
--- a/modules/telemetry/internal/log.cpp
+++ b/modules/telemetry/internal/log.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr const char *LoggerName = "fulmar";
+/// Value of log_options::File.
+constexpr const char *StandardOutput = "stdout";
 constexpr const char *LinePattern =
     "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z %m%n";
 
@@ -58,6 +60,9 @@
 
 log4cxx::AppenderPtr makeAppender(const std::string &File) {
   const auto Layout = std::make_shared<log4cxx::PatternLayout>(LinePattern);
+  if (File == StandardOutput)
+    return std::make_shared<log4cxx::ConsoleAppender>(
+        Layout, log4cxx::ConsoleAppender::getSystemOut());
   if (File.empty())
     return std::make_shared<log4cxx::ConsoleAppender>(
         Layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/programs/control/commandcodec.cpp
+++ b/programs/control/commandcodec.cpp
@@ -151,6 +151,19 @@
     return controlstate::toJson(Reply);
   }
 
+  json_result operator()(const controlstate::plan_reply &Reply) const {
+    Json::Value Json;
+    Json["version"] = Json::UInt64(Reply.Version);
+    Json["changed"] = Reply.Changed;
+    return Json;
+  }
+
+  json_result operator()(const controlstate::target_reply &Reply) const {
+    Json::Value Json;
+    Json["changed"] = Reply.Changed;
+    return Json;
+  }
+
   json_result operator()(const controlstate::failed_reply &Reply) const {
     return base::fail(Reply.Error.Kind, Reply.Error.Message);
   }
