Let requests wait at the entry, and send nothing about membership twice

Change: a request takes a free slot or waits at the entry while it can still be on time; late ones take only free slots; the rest is refused at once with a return time drawn from what the caller has left. Regular notices between entries and control instances carry no lists any more.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -87,7 +87,9 @@
   void take(const link_ptr &Link, const fleetlink::call_request &Request);
   void take(const link_ptr &Link, const fleetlink::call_reply &Reply);
   void take(const link_ptr &Link, const fleetlink::liveness_notice &Notice);
+  void take(const link_ptr &Link, const fleetlink::entry_alive &Alive);
   /// Messages that only dialled links carry.
+  void take(const link_ptr & /*Link*/, const fleetlink::control_notice &) {}
   void take(const link_ptr & /*Link*/, const fleetlink::fetch_reply &) {}
   void take(const link_ptr & /*Link*/, const fleetlink::log_notice &) {}
 
@@ -132,7 +134,10 @@
   std::string Leader;
   /// Some peer with a fresh proof lists the members without this instance.
   bool Unlisted = false;
+  /// What each peer said of the members last.
+  std::map<std::string, std::vector<std::string>> ListedBy;
   publication::serial Announced = 0;
+  std::vector<std::string> AnnouncedControls;
   bool FlushScheduled = false;
   bool Failed = false;
   eventloop::timer Ticker;
--- a/modules/controlnode/include/fulmar/controlnode/livenesstable.h
+++ b/modules/controlnode/include/fulmar/controlnode/livenesstable.h
@@ -30,6 +30,8 @@
 
   void heardTarget(const std::string &Id, base::instant Now);
   void heardEntry(const fleetlink::entry_notice &Notice, base::instant Now);
+  /// The entry's last notice holds on.
+  void heardAgain(const std::string &Id, base::instant Now);
   /// The entry's connection ended.
   void lostEntry(const std::string &Id);
   void becomeLeader(base::instant Now) { LeaderSince = Now; }
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -139,6 +139,8 @@
           Liveness.lostEntry(Found->second.EntryId);
         Accepted.erase(Found);
       });
+  Link->send(fleetlink::encodeLink(
+      fleetlink::control_notice{Options.DataCentre, controls()}));
   Link->send(fleetlink::encodeLink(notice()));
 }
 
@@ -159,14 +161,18 @@
   const auto Message = fleetlink::decodeLink(Frame);
   if (!Message)
     return;
-  const auto *Notice = std::get_if<fleetlink::log_notice>(&Message.value());
-  if (Notice == nullptr)
-    return;
   Voters.heard(Peer, Loop.now());
-  for (const std::string &Address : Notice->Controls)
-    dial(Address);
-  const auto &Listed = Notice->Controls;
-  if (Notice->ProofAgeMs >= 0 && Notice->ProofAgeMs <= FreshProofMs)
+  std::vector<std::string> &Listed = ListedBy[Peer];
+  if (const auto *Members =
+          std::get_if<fleetlink::control_notice>(&Message.value())) {
+    Listed = Members->Controls;
+    for (const std::string &Address : Listed)
+      dial(Address);
+  }
+  const auto *Notice = std::get_if<fleetlink::log_notice>(&Message.value());
+  const bool Fresh = Notice != nullptr && Notice->ProofAgeMs >= 0 &&
+                     Notice->ProofAgeMs <= FreshProofMs;
+  if (Fresh)
     Unlisted = std::find(Listed.begin(), Listed.end(), Options.LinkAddress) ==
                Listed.end();
 }
@@ -181,6 +187,11 @@
   Liveness.heardEntry(Notice, Loop.now());
 }
 
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::entry_alive & /*Alive*/) {
+  Liveness.heardAgain(Accepted[Link.get()].EntryId, Loop.now());
+}
+
 void control_node::take(const link_ptr &Link,
                         const fleetlink::fetch_request &Request) {
   Link->send(fleetlink::encodeLink(fleetlink::fetch_reply{
@@ -403,23 +414,31 @@
 fleetlink::log_notice control_node::notice() const {
   const auto Age = Log->proofAge(Loop.now());
   return {.Latest = State.published().latest(),
-          .DataCentre = Options.DataCentre,
           .ProofAgeMs =
               Age ? std::chrono::duration_cast<std::chrono::milliseconds>(*Age)
                         .count()
-                  : -1,
-          .Controls = controls()};
+                  : -1};
 }
 
 void control_node::announce() {
   Announced = State.published().latest();
-  const std::string Notice = fleetlink::encodeLink(notice());
+  std::string Notices[2] = {fleetlink::encodeLink(notice())};
+  if (std::vector<std::string> Members = controls();
+      Members != AnnouncedControls) {
+    Notices[1] = fleetlink::encodeLink(
+        fleetlink::control_notice{Options.DataCentre, Members});
+    AnnouncedControls = std::move(Members);
+  }
   // Sending may close a link, which changes the map.
   std::vector<link_ptr> Links;
   for (const auto &[Raw, Held] : Accepted)
     Links.push_back(Held.Link);
-  for (const link_ptr &Link : Links)
-    Link->send(Notice);
+  for (const link_ptr &Link : Links) {
+    for (const std::string &Notice : Notices) {
+      if (!Notice.empty())
+        Link->send(Notice);
+    }
+  }
 }
 
 void control_node::maintain() {
--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -23,6 +23,12 @@
   Entries[Notice.Report.Id] = {Notice, Now, true};
 }
 
+void liveness_table::heardAgain(const std::string &Id, base::instant Now) {
+  const auto Found = Entries.find(Id);
+  if (Found != Entries.end())
+    Found->second.At = Now;
+}
+
 void liveness_table::lostEntry(const std::string &Id) {
   const auto Found = Entries.find(Id);
   if (Found != Entries.end())
--- a/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
+++ b/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
@@ -31,6 +31,11 @@
   friend auto operator<=>(const entry_notice &, const entry_notice &) = default;
 };
 
+/// An entry lives, and its last notice holds.
+struct entry_alive {
+  friend auto operator<=>(const entry_alive &, const entry_alive &) = default;
+};
+
 /// Asks for the published items that changed behind a serial.
 struct fetch_request {
   publication::serial Since = 0;
@@ -45,18 +50,26 @@
   friend auto operator<=>(const fetch_reply &, const fetch_reply &) = default;
 };
 
-/// A control instance tells how far it is.
+/// A control instance tells how far it is, regularly and after each change.
 struct log_notice {
   publication::serial Latest = 0;
-  /// Where the sender runs.
-  std::string DataCentre;
   /// Age of the newest proof that a quorum stood behind this state; negative
   /// when there is none.
   std::int64_t ProofAgeMs = -1;
+
+  friend auto operator<=>(const log_notice &, const log_notice &) = default;
+};
+
+/// Who belongs to the control plane, at the start of a link and after each
+/// change.
+struct control_notice {
+  /// Where the sender runs.
+  std::string DataCentre;
   /// Link addresses of the control instances.
   std::vector<std::string> Controls;
 
-  friend auto operator<=>(const log_notice &, const log_notice &) = default;
+  friend auto operator<=>(const control_notice &,
+                          const control_notice &) = default;
 };
 
 /// A target crashed while it ran a request.
@@ -121,7 +134,7 @@
 using link_message =
     std::variant<entry_notice, fetch_request, fetch_reply, log_notice,
                  crash_notice, log_message, join_request, call_request,
-                 call_reply, liveness_notice>;
+                 call_reply, liveness_notice, entry_alive, control_notice>;
 
 std::string encodeLink(const link_message &Message);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/fleetlink/internal/linkmessages.cpp
+++ b/modules/fleetlink/internal/linkmessages.cpp
@@ -14,8 +14,12 @@
 static auto fieldsOf(fetch_request &Item) { return std::tie(Item.Since); }
 static auto fieldsOf(fetch_reply &Item) { return std::tie(Item.Changes); }
 static auto fieldsOf(log_notice &Item) {
-  return std::tie(Item.Latest, Item.DataCentre, Item.ProofAgeMs, Item.Controls);
+  return std::tie(Item.Latest, Item.ProofAgeMs);
 }
+static auto fieldsOf(control_notice &Item) {
+  return std::tie(Item.DataCentre, Item.Controls);
+}
+static auto fieldsOf(entry_alive & /*Item*/) { return std::tie(); }
 static auto fieldsOf(crash_notice &Item) { return std::tie(Item.Crash); }
 static auto fieldsOf(log_message &Item) {
   return std::tie(Item.From, Item.Bytes);
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -66,6 +66,7 @@
   void dial(const std::string &Address);
   void onFrame(const std::string &From, std::string_view Frame);
   void take(const std::string &From, const fleetlink::log_notice &Notice);
+  void take(const std::string &From, const fleetlink::control_notice &Notice);
   void take(const fleetlink::fetch_reply &Reply);
   void fetchIfBehind(bool FromAnywhere);
   void tick();
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -26,8 +26,8 @@
 constexpr base::duration LookLifetime = std::chrono::milliseconds(40);
 /// Pause before looking again while every target is full.
 constexpr base::duration FullPause = std::chrono::milliseconds(20);
-/// Part of its objective that a request may wait for a target with room.
-constexpr int WaitDivisor = 8;
+/// Of the times of one route's answers: what an undisturbed target takes.
+constexpr double UsualQuantile = 0.4;
 /// With less time left, a request is not sent again.
 constexpr base::duration MinTimeToSend = std::chrono::milliseconds(20);
 /// Time for the final answer to reach the caller before its deadline.
@@ -87,9 +87,7 @@
   if (Told)
     End = std::min(End, Request.ArrivedAt + std::chrono::milliseconds(*Told) -
                             AnswerMargin);
-  WaitEnd = std::min(End, Request.ArrivedAt +
-                              std::chrono::milliseconds(Route->ObjectiveMs) /
-                                  WaitDivisor);
+  UsualTimes = &State.Times[Route->Name];
   return true;
 }
 
@@ -175,15 +173,19 @@
 void exchange::decide() {
   RoundTimer.cancel();
   look *Best = best();
-  const bool Full =
-      Best == nullptr || placement::isFull(Best->load(), Best->hidden());
   const bool Good =
       Best != nullptr && placement::isGood(Best->load(), Best->hidden());
-  const std::size_t Before = Seen.size();
-  if (!Good && Round < MaxRounds + (Full ? 1 : 0) && Before < Service->Placement.size())
+  std::optional<placement::admission_offer> Offer;
+  if (Best != nullptr)
+    Offer = placement::admission_offer{Best->load(), Best->hidden()};
+  const placement::send_decision Decision =
+      placement::decideSend(Offer, admissionRequest());
+  const bool Short = Decision != placement::send_decision::Send;
+  if (!Good && Round < MaxRounds + (Short ? 1 : 0) &&
+      Seen.size() < Service->Placement.size())
     return startRound();
-  if (Full)
-    return lookAgainLater();
+  if (Short)
+    return lookAgainLater(Decision);
   const std::string Target = Best->target();
   if (!Service->Placement.admit(Target, State.Loop.now())) {
     std::erase_if(Looks, [Best](const auto &Look) {
@@ -199,11 +201,21 @@
   send(Target, std::move(Channel));
 }
 
-void exchange::lookAgainLater() {
+placement::admission_request exchange::admissionRequest() const {
+  const base::instant Now = State.Loop.now();
+  return {.UsualTime = UsualTimes->quantile(UsualQuantile)
+                           .value_or(base::duration()),
+          .ToObjective = Request.ArrivedAt +
+                         std::chrono::milliseconds(Route->ObjectiveMs) - Now,
+          .ToEnd = End - Now};
+}
+
+void exchange::lookAgainLater(placement::send_decision Decision) {
   dropLooks();
   Seen.clear();
   Round = 0;
-  const bool Waits = Attempts.empty() && State.Loop.now() + FullPause < WaitEnd;
+  const bool Waits = Decision == placement::send_decision::Wait &&
+                     !anyRunning() && State.Loop.now() + FullPause < End;
   if (!Waits) {
     Choosing = false;
     if (Attempts.empty())
@@ -331,6 +343,7 @@
   const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
   const bool Success = Answer.Status < FirstRedirect;
   if (Success && Signed && !Encoded) {
+    UsualTimes->record(State.Loop.now() - Attempts[Index].SentAt);
     endAttempt(Index, attempt_quality::Good);
     return deliver(std::move(Answer));
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -5,6 +5,7 @@
 #ifndef FULMAR_GATEWAY_INTERNAL_EXCHANGE_H
 #define FULMAR_GATEWAY_INTERNAL_EXCHANGE_H
 
+#include "fulmar/placement/admission.h"
 #include "internal/gatewaystate.h"
 #include "internal/look.h"
 
@@ -60,7 +61,8 @@
   void sendUnseen(const std::vector<std::string> &Ids);
   void onLook();
   void decide();
-  void lookAgainLater();
+  [[nodiscard]] placement::admission_request admissionRequest() const;
+  void lookAgainLater(placement::send_decision Decision);
   [[nodiscard]] look *best() const;
   void send(const std::string &Target, channel_ptr Channel);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
@@ -93,8 +95,8 @@
   std::string Fingerprint;
   bool Idempotent = false;
   base::instant End{};
-  /// Until when the request may wait for a target with room.
-  base::instant WaitEnd{};
+  /// Of the route; owned by the gateway's state.
+  routing::service_times *UsualTimes = nullptr;
 
   std::vector<std::shared_ptr<look>> Looks;
   std::set<std::string> Seen;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -14,17 +14,15 @@
 
 using routing::attempt_quality;
 
-/// A refused caller comes back after a part of its objective, spread so that
-/// refused callers don't come back together.
-constexpr double MinReturnShare = 0.15;
-constexpr double MaxReturnShare = 0.5;
-/// For requests without a route.
-constexpr std::int64_t DefaultObjectiveMs = 1'000;
+/// For requests whose route is not known: an entry knows a plan soon after its
+/// start.
+constexpr auto UnroutedReturn = std::chrono::milliseconds(300);
 constexpr unsigned StatusUnavailable = 503;
 
-std::string secondsText(double Seconds) {
+std::string secondsText(base::duration Time) {
   char Text[32];
-  std::snprintf(Text, sizeof(Text), "%.3f", Seconds);
+  std::snprintf(Text, sizeof(Text), "%.3f",
+                std::chrono::duration<double>(Time).count());
   return Text;
 }
 
@@ -56,13 +54,12 @@
   if (!RequestId.empty())
     appendHeader(Out.Headers, State.Options.Dialect.RequestId, RequestId);
   if (Out.Status == StatusUnavailable) {
-    const double Objective =
-        static_cast<double>(Route == nullptr ? DefaultObjectiveMs
-                                             : Route->ObjectiveMs) /
-        1'000;
-    const double Share =
-        absl::Uniform(State.Random, MinReturnShare, MaxReturnShare);
-    appendHeader(Out.Headers, "Retry-After", secondsText(Objective * Share));
+    const base::duration Return =
+        UsualTimes == nullptr
+            ? base::duration(UnroutedReturn)
+            : placement::returnAfter(admissionRequest(),
+                                     absl::Uniform(State.Random, 0.0, 1.0));
+    appendHeader(Out.Headers, "Retry-After", secondsText(Return));
   }
   log(Out, Error.Message);
   finish(std::move(Out));
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -42,7 +42,8 @@
       OnChange(std::move(Changed)), Ticker(Loop), Announcer(Loop) {
   addSeeds(Options.Seeds);
   Ticker.every(TickInterval, [this] { tick(); });
-  Announcer.every(AnnounceInterval, [this] { announce(); });
+  Announcer.every(AnnounceInterval,
+                  [this] { sendAll(fleetlink::entry_alive{}); });
 }
 
 void fleet_feed::addSeeds(const std::vector<std::string> &Seeds) {
@@ -86,6 +87,9 @@
   if (const auto *Notice =
           std::get_if<fleetlink::log_notice>(&Message.value()))
     take(From, *Notice);
+  else if (const auto *Members =
+               std::get_if<fleetlink::control_notice>(&Message.value()))
+    take(From, *Members);
   else if (const auto *Reply =
                std::get_if<fleetlink::fetch_reply>(&Message.value()))
     take(*Reply);
@@ -94,11 +98,15 @@
 void fleet_feed::take(const std::string &From,
                       const fleetlink::log_notice &Notice) {
   control_link &Link = Links[From];
-  Link.DataCentre = Notice.DataCentre;
   Link.Latest = Notice.Latest;
+  fetchIfBehind(false);
+}
+
+void fleet_feed::take(const std::string &From,
+                      const fleetlink::control_notice &Notice) {
+  Links[From].DataCentre = Notice.DataCentre;
   for (const std::string &Address : Notice.Controls)
     dial(Address);
-  fetchIfBehind(false);
 }
 
 void fleet_feed::fetchIfBehind(bool FromAnywhere) {
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -64,6 +64,8 @@
   std::map<std::string, service_ptr> Services;
   /// By route name.
   std::map<std::string, share_sequence> Shares;
+  /// Times of good answers, by route name.
+  std::map<std::string, routing::service_times> Times;
   std::set<std::string> Quarantined;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
--- /dev/null
+++ b/modules/placement/include/fulmar/placement/admission.h
@@ -0,0 +1,48 @@
+// Whether a request is sent now, waits for a better moment, or is refused.
+//
+// Answers loads above what the targets bear. Requests that queue at targets
+// all become late; so a request waits at the entry while it can still be on
+// time, takes a slot that is free, and is refused once neither holds. Work that
+// is late already takes only slots that nobody waits for.
+
+#ifndef FULMAR_PLACEMENT_ADMISSION_H
+#define FULMAR_PLACEMENT_ADMISSION_H
+
+#include "fulmar/base/time.h"
+#include "fulmar/placement/loadreport.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace fulmar::placement {
+
+enum class send_decision : std::uint8_t { Send, Wait, Refuse };
+
+/// The best target that was found.
+struct admission_offer {
+  load_report Load;
+  hidden_requests Hidden = 0;
+};
+
+struct admission_request {
+  /// Time that the request takes on an idle, undisturbed target; 0 when not
+  /// known yet.
+  base::duration UsualTime{};
+  /// Until the answer is worth less; not positive when it is late already.
+  base::duration ToObjective{};
+  /// Until the caller or the route gives up.
+  base::duration ToEnd{};
+};
+
+/// \p Offer is empty when no target answered.
+send_decision decideSend(const std::optional<admission_offer> &Offer,
+                         const admission_request &Request);
+
+/// When a refused caller should come back, as a time from now: soon while it
+/// can still be on time, else after a good part of the time that it has left.
+/// \p Spread in [0, 1) keeps callers that were refused together apart.
+base::duration returnAfter(const admission_request &Request, double Spread);
+
+} // namespace fulmar::placement
+
+#endif // FULMAR_PLACEMENT_ADMISSION_H
--- /dev/null
+++ b/modules/placement/internal/admission.cpp
@@ -0,0 +1,62 @@
+// Decisions of admission.
+
+#include "fulmar/placement/admission.h"
+
+#include <algorithm>
+
+namespace fulmar::placement {
+
+namespace {
+
+/// A disturbance lasts a few hundred milliseconds, so that a longer request
+/// outlives it: no more than this much of it is expected to count.
+constexpr double MaxExpectedSlowdown = 2.5;
+/// Callers come back at most this late, of the time that they have left: they
+/// themselves cap it there.
+constexpr int ReturnDivisor = 3;
+/// Earliest return while a request can still be on time, in its usual times.
+constexpr double SoonestReturn = 0.25;
+constexpr base::duration MinReturn = std::chrono::milliseconds(20);
+
+base::duration scaled(base::duration Time, double Factor) {
+  return base::duration(static_cast<base::duration::rep>(
+      static_cast<double>(Time.count()) * Factor));
+}
+
+bool hasFreeSlot(const admission_offer &Offer) {
+  const load_report &Load = Offer.Load;
+  return Load.Slots == 0 ||
+         Load.Running + Load.Waiting + Offer.Hidden < Load.Slots;
+}
+
+} // namespace
+
+send_decision decideSend(const std::optional<admission_offer> &Offer,
+                         const admission_request &Request) {
+  // On time at best, if a target without any load came up now.
+  const bool Hope = Request.ToObjective > Request.UsualTime;
+  if (!Offer)
+    return Hope ? send_decision::Wait : send_decision::Refuse;
+  if (!hasFreeSlot(*Offer))
+    return Hope ? send_decision::Wait : send_decision::Refuse;
+  const double Factor = std::min(
+      MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
+  const bool OnTime = scaled(Request.UsualTime, Factor) <= Request.ToObjective;
+  if (OnTime || !Hope)
+    return send_decision::Send;
+  return send_decision::Wait;
+}
+
+base::duration returnAfter(const admission_request &Request, double Spread) {
+  const base::duration Latest =
+      std::max(MinReturn, Request.ToEnd / ReturnDivisor);
+  const base::duration Slack = Request.ToObjective - Request.UsualTime;
+  if (Slack > MinReturn) {
+    const base::duration Soonest =
+        std::max(MinReturn, scaled(Request.UsualTime, SoonestReturn));
+    return std::min(Latest, std::max(Soonest, scaled(Slack, Spread)));
+  }
+  return std::max(MinReturn, scaled(Latest, (1 + Spread) / 2));
+}
+
+} // namespace fulmar::placement
