--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -12,8 +12,14 @@
 
 namespace {
 
+/// Entries that restart with the control plane know nothing until there is a
+/// leader; three heartbeats fit into the shortest wait, and each is some 100
+/// round trips between neighbouring data centres.
+constexpr auto LogHeartbeat = std::chrono::milliseconds(100);
+constexpr auto MinElectionWait = std::chrono::milliseconds(300);
+constexpr auto MaxElectionWait = std::chrono::milliseconds(600);
 /// A quarter of the log's heartbeat, as it asks for.
-constexpr auto TickInterval = std::chrono::milliseconds(35);
+constexpr auto TickInterval = std::chrono::milliseconds(25);
 /// Three of these fit into the silence after which a peer reconnects.
 constexpr auto AnnounceInterval = std::chrono::milliseconds(400);
 constexpr auto MaintainInterval = std::chrono::milliseconds(500);
@@ -39,6 +45,9 @@
       std::find(Seeds.begin(), Seeds.end(), Options.LinkAddress) != Seeds.end();
   Log.Replica.Bootstrap = Options.Bootstrap && IsSeed;
   Log.Replica.InitialVoters = Seeds;
+  Log.Replica.Heartbeat = LogHeartbeat;
+  Log.Replica.ElectionMin = MinElectionWait;
+  Log.Replica.ElectionMax = MaxElectionWait;
   std::random_device Device;
   Log.Replica.Seed = (std::uint64_t(Device()) << 32U) | Device();
   return Log;
--- a/modules/placement/include/fulmar/placement/loadreport.h
+++ b/modules/placement/include/fulmar/placement/loadreport.h
@@ -39,8 +39,12 @@
 /// looked for.
 bool isGood(const load_report &Load, hidden_requests Hidden);
 
-/// So many requests wait that a further one would be late or rejected.
-bool isFull(const load_report &Load, hidden_requests Hidden);
+/// Requests that a target with \p Slots runs at its best throughput: above its
+/// knee it may finish less in the same time than below.
+std::uint32_t usableSlots(std::uint32_t Slots);
+
+/// Requests that run or wait at the target.
+std::uint32_t busy(const load_report &Load, hidden_requests Hidden);
 
 } // namespace fulmar::placement
 
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -16,6 +16,8 @@
 constexpr int ReturnDivisor = 3;
 /// Earliest return while a request can still be on time, in its usual times.
 constexpr double SoonestReturn = 0.25;
+/// Part of a target's usable slots that late work may fill.
+constexpr double LateShare = 0.67;
 constexpr base::duration MinReturn = std::chrono::milliseconds(20);
 
 base::duration scaled(base::duration Time, double Factor) {
@@ -23,10 +25,12 @@
       static_cast<double>(Time.count()) * Factor));
 }
 
-bool hasFreeSlot(const admission_offer &Offer) {
-  const load_report &Load = Offer.Load;
-  return Load.Slots == 0 ||
-         Load.Running + Load.Waiting + Offer.Hidden < Load.Slots;
+/// \p Share: part of the usable slots that may be in use afterwards.
+bool hasFreeSlot(const admission_offer &Offer, double Share) {
+  if (Offer.Load.Slots == 0)
+    return true;
+  const double Usable = Share * usableSlots(Offer.Load.Slots);
+  return busy(Offer.Load, Offer.Hidden) + 1 <= std::max(1.0, Usable);
 }
 
 } // namespace
@@ -37,7 +41,7 @@
   const bool Hope = Request.ToObjective > Request.UsualTime;
   if (!Offer)
     return Hope ? send_decision::Wait : send_decision::Refuse;
-  if (!hasFreeSlot(*Offer))
+  if (!hasFreeSlot(*Offer, Hope ? 1 : LateShare))
     return Hope ? send_decision::Wait : send_decision::Refuse;
   const double Factor = std::min(
       MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
--- a/modules/placement/internal/loadreport.cpp
+++ b/modules/placement/internal/loadreport.cpp
@@ -16,17 +16,13 @@
 /// Slowdown up to which a target counts as undisturbed.
 constexpr double GoodSlowdown = 1.25;
 
-double busyWith(const load_report &Load, hidden_requests Hidden) {
-  return static_cast<double>(Load.Running) + Load.Waiting + Hidden;
-}
-
 } // namespace
 
 double expectedTime(const load_report &Load, hidden_requests Hidden) {
   const double Slowdown = std::max(Load.Slowdown, 0.01);
   if (Load.Slots == 0)
     return Slowdown * (1 + Hidden);
-  const double Busy = busyWith(Load, Hidden) + 1;
+  const double Busy = busy(Load, Hidden) + 1.0;
   const double Slots = Load.Slots;
   const double Crowding = Busy > Knee * Slots ? CrowdedSlowdown : 1;
   const double Rounds = std::max(0.0, Busy - Slots) / Slots;
@@ -39,11 +35,16 @@
   if (Load.Slots == 0)
     return Hidden == 0;
   return Load.Slowdown <= GoodSlowdown &&
-         busyWith(Load, Hidden) + 1 <= Knee * Load.Slots;
+         busy(Load, Hidden) + 1 <= Knee * Load.Slots;
+}
+
+std::uint32_t usableSlots(std::uint32_t Slots) {
+  const auto BelowKnee = static_cast<std::uint32_t>(Knee * Slots);
+  return BelowKnee * CrowdedSlowdown > Slots ? BelowKnee : Slots;
 }
 
-bool isFull(const load_report &Load, hidden_requests Hidden) {
-  return Load.Slots != 0 && busyWith(Load, Hidden) >= 2.0 * Load.Slots;
+std::uint32_t busy(const load_report &Load, hidden_requests Hidden) {
+  return Load.Running + Load.Waiting + Hidden;
 }
 
 } // namespace fulmar::placement
