--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t FurtherLooks = 3;
 /// Rounds after which the best target found is taken.
 constexpr std::size_t MaxRounds = 2;
-/// From this round on, targets of other data centres are as good as near ones.
-constexpr std::size_t AbroadRound = 2;
+/// From this round on, targets of other data centres and cold ones are as good
+/// as near and warm ones.
+constexpr std::size_t AnywhereRound = 2;
 /// A look that is not answered by then counts as a slow target's: several
 /// times a probe's usual time.
 constexpr base::duration LookWait = std::chrono::milliseconds(25);
@@ -96,7 +97,8 @@
   placement::candidate_query Query{.Excluded = Seen,
                                    .Count = Round == 0 ? FirstLooks
                                                        : FurtherLooks,
-                                   .Abroad = Round >= AbroadRound};
+                                   .Anywhere = Round >= AnywhereRound,
+                                   .Hint = std::exchange(Hint, {})};
   Query.Excluded.insert(SentTo.begin(), SentTo.end());
   const base::instant Now = State.Loop.now();
   const auto Ids = Service->Placement.candidates(Query, Now);
@@ -138,7 +140,7 @@
   Choosing = false;
   if (!Channel || !Service->Placement.admit(*Least, State.Loop.now()))
     return sendAgain();
-  send(*Least, std::move(Channel));
+  send(*Least, std::move(Channel), 1);
 }
 
 void exchange::onLook() {
@@ -195,10 +197,11 @@
     });
     return decide();
   }
+  const double Factor = placement::expectedTime(Best->load(), Best->hidden());
   channel_ptr Channel = Best->takeChannel();
   dropLooks();
   Choosing = false;
-  send(Target, std::move(Channel));
+  send(Target, std::move(Channel), Factor);
 }
 
 placement::admission_request exchange::admissionRequest() const {
@@ -216,16 +219,36 @@
   Round = 0;
   const bool Waits = Decision == placement::send_decision::Wait &&
                      !anyRunning() && State.Loop.now() + FullPause < End;
-  if (!Waits) {
-    Choosing = false;
-    if (Attempts.empty())
-      LastFailure = {base::error_kind::Saturated, "no target has room"};
-    if (!anyRunning())
-      giveUp();
-    return;
+  if (Waits) {
+    Service->Waiters.add(waiterKey(), weak_from_this());
+    return RoundTimer.after(FullPause, [Self = shared_from_this()] {
+      Self->stopWaiting();
+      Self->startRound();
+    });
   }
-  RoundTimer.after(FullPause,
-                   [Self = shared_from_this()] { Self->startRound(); });
+  Choosing = false;
+  if (Attempts.empty())
+    LastFailure = {base::error_kind::Saturated, "no target has room"};
+  if (!anyRunning())
+    giveUp();
+}
+
+waiter_key exchange::waiterKey() const {
+  return {.Priority = Route->Priority,
+          .Objective = Request.ArrivedAt +
+                       std::chrono::milliseconds(Route->ObjectiveMs),
+          .Request = this};
+}
+
+void exchange::stopWaiting() {
+  if (Service)
+    Service->Waiters.remove(waiterKey());
+}
+
+void exchange::targetFreed(const std::string &Target) {
+  RoundTimer.cancel();
+  Hint = Target;
+  startRound();
 }
 
 std::string exchange::headFor(const std::string &Target) const {
@@ -254,7 +277,8 @@
   return Head + "\r\n";
 }
 
-void exchange::send(const std::string &Target, channel_ptr Channel) {
+void exchange::send(const std::string &Target, channel_ptr Channel,
+                    double ExpectedFactor) {
   if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
     State.Pool.release(Channel);
     if (!anyRunning())
@@ -265,7 +289,8 @@
   Service->Placement.sent(Target);
   Attempts.push_back({.Target = Target,
                       .Channel = Channel,
-                      .SentAt = State.Loop.now()});
+                      .SentAt = State.Loop.now(),
+                      .ExpectedFactor = ExpectedFactor});
   const std::size_t Index = Attempts.size() - 1;
   Channel->call({.Head = headFor(Target),
                  .Body = Request.Body,
@@ -310,6 +335,9 @@
   Service->Placement.ended(Attempt.Target, Quality, Now - Attempt.SentAt, Now);
   if (Attempt.Channel)
     State.Pool.release(std::exchange(Attempt.Channel, {}));
+  // The slot that this entry gives back is offered to its own waiters first.
+  if (const auto Next = Service->Waiters.takeFirst())
+    Next->targetFreed(Attempt.Target);
 }
 
 void exchange::onAnswer(std::size_t Index, base::result<target_answer> Result) {
@@ -343,7 +371,10 @@
   const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
   const bool Success = Answer.Status < FirstRedirect;
   if (Success && Signed && !Encoded) {
-    UsualTimes->record(State.Loop.now() - Attempts[Index].SentAt);
+    UsualTimes->record(base::duration(static_cast<base::duration::rep>(
+        static_cast<double>(
+            (State.Loop.now() - Attempts[Index].SentAt).count()) /
+        Attempts[Index].ExpectedFactor)));
     endAttempt(Index, attempt_quality::Good);
     return deliver(std::move(Answer));
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -46,12 +46,16 @@
   void start(handler Done);
   /// The caller has gone: work at targets is cancelled.
   void cancel();
+  /// While it waits: a slot at \p Target has become free.
+  void targetFreed(const std::string &Target);
 
 private:
   struct attempt {
     std::string Target;
     channel_ptr Channel;
     base::instant SentAt{};
+    /// Time expected relative to an idle, undisturbed target.
+    double ExpectedFactor = 1;
     bool Running = true;
   };
 
@@ -62,9 +66,12 @@
   void onLook();
   void decide();
   [[nodiscard]] placement::admission_request admissionRequest() const;
+  [[nodiscard]] waiter_key waiterKey() const;
+  void stopWaiting();
   void lookAgainLater(placement::send_decision Decision);
   [[nodiscard]] look *best() const;
-  void send(const std::string &Target, channel_ptr Channel);
+  void send(const std::string &Target, channel_ptr Channel,
+            double ExpectedFactor);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
   void armHedge();
   void hedge();
@@ -102,6 +109,8 @@
   std::set<std::string> Seen;
   std::set<std::string> SentTo;
   std::size_t Round = 0;
+  /// Target to look at first in the next round.
+  std::string Hint;
   /// Looks are under way, or a pause between them.
   bool Choosing = false;
   std::vector<attempt> Attempts;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -84,6 +84,7 @@
   RoundTimer.cancel();
   HedgeTimer.cancel();
   Choosing = false;
+  stopWaiting();
   --State.Running;
   const base::duration Elapsed = State.Loop.now() - Request.ArrivedAt;
   State.Metrics.latencyOf("fulmar_request_seconds").record(Elapsed);
@@ -106,6 +107,7 @@
   RoundTimer.cancel();
   HedgeTimer.cancel();
   Choosing = false;
+  stopWaiting();
   --State.Running;
   State.Metrics.counterOf("fulmar_requests_abandoned_total").add();
 }
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -116,6 +116,16 @@
   return Found == Services.end() ? nullptr : Found->second;
 }
 
+std::shared_ptr<exchange> waiter_queue::takeFirst() {
+  while (!Waiters.empty()) {
+    const auto First = Waiters.begin()->second.lock();
+    Waiters.erase(Waiters.begin());
+    if (First)
+      return First;
+  }
+  return nullptr;
+}
+
 const std::string &share_sequence::next(const fleet::route &Route) {
   // Steps of the golden ratio fill any interval evenly.
   constexpr double GoldenRatio = 0.6180339887498949;
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -18,6 +18,34 @@
 namespace fulmar::gateway {
 
 class front_session;
+class exchange;
+
+/// Order of requests that wait for a target with room.
+struct waiter_key {
+  /// 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  /// Until when an answer is worth most.
+  base::instant Objective{};
+  /// Tells equal ones apart.
+  const void *Request = nullptr;
+
+  friend auto operator<=>(const waiter_key &, const waiter_key &) = default;
+};
+
+/// Requests of one service that wait for a target with room. A slot that is
+/// given back goes to the most urgent one first.
+class waiter_queue {
+public:
+  void add(const waiter_key &Key, std::weak_ptr<exchange> Waiter) {
+    Waiters[Key] = std::move(Waiter);
+  }
+  void remove(const waiter_key &Key) { Waiters.erase(Key); }
+  /// Takes the first out; null when nobody waits.
+  std::shared_ptr<exchange> takeFirst();
+
+private:
+  std::map<waiter_key, std::weak_ptr<exchange>> Waiters;
+};
 
 /// One service as the gateway sees it.
 struct service_state {
@@ -30,6 +58,7 @@
   fleet::service Service;
   placement::service_placement Placement;
   placement::window_budget Retries;
+  waiter_queue Waiters;
 };
 
 using service_ptr = std::shared_ptr<service_state>;
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -47,6 +47,7 @@
 
 void look::start(std::function<void()> Done) {
   OnDone = std::move(Done);
+  Service->Placement.looking(Target.Id, State.Loop.now());
   Channel = State.Pool.acquire(Target);
   if (!Channel)
     return finish();
@@ -107,6 +108,7 @@
 
 void look::finish() {
   Finished = true;
+  Service->Placement.lookEnded(Target.Id);
   if (!Good && Channel) {
     State.Pool.release(Channel);
     Channel.reset();
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -38,8 +38,11 @@
   /// Targets that the request has looked at or been sent to.
   std::set<std::string> Excluded;
   std::size_t Count = 2;
-  /// Also targets of other data centres before those of the own are used up.
-  bool Abroad = false;
+  /// Also targets of other data centres, and cold ones, before those of the own
+  /// are used up.
+  bool Anywhere = false;
+  /// To be looked at first where it is fit; empty for none.
+  std::string Hint;
 };
 
 class service_placement {
@@ -55,6 +58,11 @@
   std::vector<std::string> candidates(const candidate_query &Query,
                                       base::instant Now);
 
+  /// A look at a target begins. Until it ends, the target is no candidate if it
+  /// takes longer than targets usually do.
+  void looking(const std::string &Target, base::instant Now);
+  void lookEnded(const std::string &Target);
+
   /// What a look at a target found.
   void probed(const std::string &Target, const load_report &Load,
               base::instant Now);
@@ -88,6 +96,9 @@
     hidden_requests InFlight = 0;
     base::instant ColdUntil{};
     base::instant AwayUntil{};
+    /// Looks that are under way, and when the first of them began.
+    std::uint32_t Looks = 0;
+    base::instant LookingSince{};
     /// Looks in a row that found nobody.
     std::uint32_t Misses = 0;
   };
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -11,6 +11,8 @@
 /// A disturbance lasts a few hundred milliseconds, so that a longer request
 /// outlives it: no more than this much of it is expected to count.
 constexpr double MaxExpectedSlowdown = 2.5;
+/// Targets that are undisturbed when a request is sent may not stay so.
+constexpr double NoiseMargin = 1.3;
 /// Callers come back at most this late, of the time that they have left: they
 /// themselves cap it there.
 constexpr int ReturnDivisor = 3;
@@ -45,7 +47,8 @@
     return Hope ? send_decision::Wait : send_decision::Refuse;
   const double Factor = std::min(
       MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
-  const bool OnTime = scaled(Request.UsualTime, Factor) <= Request.ToObjective;
+  const bool OnTime =
+      scaled(Request.UsualTime, Factor * NoiseMargin) <= Request.ToObjective;
   if (OnTime || !Hope)
     return send_decision::Send;
   return send_decision::Wait;
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -18,6 +18,10 @@
 /// A report that tells of a cold start may have been on its way this long.
 constexpr base::duration ColdMargin = std::chrono::milliseconds(100);
 
+/// A target that has not answered a look by then may be stalled: several times
+/// a look's usual time.
+constexpr base::duration LookLimit = std::chrono::milliseconds(25);
+
 constexpr routing::outlier_options HealthOptions{
     .MaxEjectedShare = 0.5,
     .BaseEjection = std::chrono::seconds(1),
@@ -62,7 +66,8 @@
 service_placement::standing
 service_placement::standingOf(const std::string &Id, const target &Held,
                               base::instant Now) {
-  if (Now < Held.AwayUntil)
+  if (Now < Held.AwayUntil ||
+      (Held.Looks > 0 && Now - Held.LookingSince >= LookLimit))
     return standing::Away;
   const routing::target_health *Judged = Health.healthOf(idOf(Id));
   if (Judged != nullptr && Judged->Share < 1 &&
@@ -82,15 +87,21 @@
       continue;
     const standing Standing = standingOf(Id, Held, Now);
     const bool Local =
-        Query.Abroad || Held.Report.DataCentre == Options.DataCentre;
-    if (Standing == standing::Usable)
+        Query.Anywhere || Held.Report.DataCentre == Options.DataCentre;
+    const bool Permitted = Standing == standing::Cold &&
+                           Cold.allows(Id, Options.WarmUpRate, Now);
+    if (Standing == standing::Usable || (Permitted && Query.Anywhere))
       ByClass[Local ? 0 : 1].push_back(Id);
     else if (Standing == standing::Away)
       ByClass[3].push_back(Id);
-    else if (Cold.allows(Id, Options.WarmUpRate, Now))
+    else if (Permitted)
       ByClass[2].push_back(Id);
   }
   std::vector<std::string> Chosen;
+  const bool Hinted = std::erase(ByClass[0], Query.Hint) > 0 ||
+                      std::erase(ByClass[1], Query.Hint) > 0;
+  if (Hinted)
+    Chosen.push_back(Query.Hint);
   for (auto &Class : ByClass) {
     std::shuffle(Class.begin(), Class.end(), Random);
     for (std::string &Id : Class) {
@@ -107,6 +118,18 @@
   return Chosen;
 }
 
+void service_placement::looking(const std::string &Target, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found != Targets.end() && Found->second.Looks++ == 0)
+    Found->second.LookingSince = Now;
+}
+
+void service_placement::lookEnded(const std::string &Target) {
+  const auto Found = Targets.find(Target);
+  if (Found != Targets.end() && Found->second.Looks > 0)
+    --Found->second.Looks;
+}
+
 void service_placement::probed(const std::string &Target,
                                const load_report &Load, base::instant Now) {
   const auto Found = Targets.find(Target);
