Recover faster when all processes start together

Change: the first election after a start comes within 240 ms, the first five reconnects after 30 ms each, and a request that finds no plan waits up to 250 ms for it.

--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -18,6 +18,8 @@
 constexpr auto LogHeartbeat = std::chrono::milliseconds(100);
 constexpr auto MinElectionWait = std::chrono::milliseconds(300);
 constexpr auto MaxElectionWait = std::chrono::milliseconds(600);
+/// Instances that start together are connected within some ten milliseconds.
+constexpr auto MaxFirstElectionWait = std::chrono::milliseconds(240);
 /// A quarter of the log's heartbeat, as it asks for.
 constexpr auto TickInterval = std::chrono::milliseconds(25);
 /// Three of these fit into the silence after which a peer reconnects.
@@ -48,6 +50,7 @@
   Log.Replica.Heartbeat = LogHeartbeat;
   Log.Replica.ElectionMin = MinElectionWait;
   Log.Replica.ElectionMax = MaxElectionWait;
+  Log.Replica.FirstElectionMax = MaxFirstElectionWait;
   std::random_device Device;
   Log.Replica.Seed = (std::uint64_t(Device()) << 32U) | Device();
   return Log;
--- a/modules/eventloop/include/fulmar/eventloop/framelink.h
+++ b/modules/eventloop/include/fulmar/eventloop/framelink.h
@@ -108,6 +108,8 @@
   handlers Handlers;
   std::shared_ptr<frame_link> Link;
   std::shared_ptr<tcp::socket> Connecting;
+  /// Failures to connect since the last connection.
+  unsigned Failures = 0;
   timer Retry;
   timer Watch;
 };
--- a/modules/eventloop/internal/framedialer.cpp
+++ b/modules/eventloop/internal/framedialer.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-/// Pause between two attempts to connect.
+/// Pause between two attempts to connect, and the first few such pauses: peers
+/// that start together listen within some ten milliseconds.
 constexpr auto RetryPause = std::chrono::milliseconds(200);
+constexpr auto FirstRetryPause = std::chrono::milliseconds(30);
+constexpr unsigned FirstRetries = 5;
 /// A connection that takes longer is given up: some 100 round trips between
 /// neighbouring data centres.
 constexpr auto ConnectLimit = std::chrono::milliseconds(500);
@@ -51,6 +54,7 @@
 
 void frame_dialer::onConnected(tcp::socket Socket) {
   Connecting.reset();
+  Failures = 0;
   Retry.cancel();
   Link = std::make_shared<frame_link>(Loop, std::move(Socket));
   Link->start(Handlers.Frame, [this] { drop(); });
@@ -78,7 +82,8 @@
   }
   Connecting.reset();
   Watch.cancel();
-  Retry.after(RetryPause, [this] { connect(); });
+  const bool Soon = ++Failures <= FirstRetries;
+  Retry.after(Soon ? FirstRetryPause : RetryPause, [this] { connect(); });
   if (WasConnected && Handlers.Lost)
     Handlers.Lost();
 }
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -29,6 +29,10 @@
 constexpr base::duration FullPause = std::chrono::milliseconds(20);
 /// Of the times of one route's answers: what an undisturbed target takes.
 constexpr double UsualQuantile = 0.4;
+/// An entry that has just started learns the plan within a few round trips, or
+/// when a leader has been elected.
+constexpr base::duration PlanWait = std::chrono::milliseconds(250);
+constexpr base::duration PlanPoll = std::chrono::milliseconds(10);
 /// With less time left, a request is not sent again.
 constexpr base::duration MinTimeToSend = std::chrono::milliseconds(20);
 /// Time for the final answer to reach the caller before its deadline.
@@ -46,6 +50,15 @@
   OnDone = std::move(Done);
   ++State.Running;
   RequestId = headerOf(Request.Fields, State.Options.Dialect.RequestId);
+  begin();
+}
+
+void exchange::begin() {
+  const bool MayWait =
+      State.Loop.now() - Request.ArrivedAt < PlanWait;
+  if (!State.Routes.plan() && MayWait)
+    return RoundTimer.after(PlanPoll,
+                            [Self = shared_from_this()] { Self->begin(); });
   if (!admit())
     return;
   Service->Retries.arrived(Request.ArrivedAt);
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -59,6 +59,8 @@
     bool Running = true;
   };
 
+  /// Waits a little for a plan, then serves the request.
+  void begin();
   bool admit();
   void startRound();
   void lookAt(const std::vector<std::string> &Ids);
