--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -27,19 +27,29 @@
 constexpr base::duration LookLifetime = std::chrono::milliseconds(40);
 /// Pause before looking again while every target is full.
 constexpr base::duration FullPause = std::chrono::milliseconds(20);
-/// Of the times of one route's answers: what an undisturbed target takes.
-constexpr double UsualQuantile = 0.4;
 /// An entry that has just started learns the plan within a few round trips, or
 /// when a leader has been elected.
 constexpr base::duration PlanWait = std::chrono::milliseconds(250);
 constexpr base::duration PlanPoll = std::chrono::milliseconds(10);
 /// With less time left, a request is not sent again.
 constexpr base::duration MinTimeToSend = std::chrono::milliseconds(20);
-/// Time for the final answer to reach the caller before its deadline.
-constexpr base::duration AnswerMargin = std::chrono::milliseconds(10);
+/// Time for the request and its final answer to travel, as part of the caller's
+/// time and within bounds: distant callers wait longer.
+constexpr int TravelDivisor = 50;
+constexpr base::duration MinTravel = std::chrono::milliseconds(8);
+constexpr base::duration MaxTravel = std::chrono::milliseconds(40);
 /// Part of the objective after which a second target is asked.
 constexpr double HedgeShare = 0.55;
 
+/// What is left of the time that a caller told, when it arrives here.
+base::duration callerTime(std::uint64_t ToldMs) {
+  // Longer than any route's time.
+  constexpr std::uint64_t MaxToldMs = 3'600'000;
+  const base::duration Told =
+      std::chrono::milliseconds(std::min(ToldMs, MaxToldMs));
+  return Told - std::clamp(Told / TravelDivisor, MinTravel, MaxTravel);
+}
+
 } // namespace
 
 exchange::exchange(gateway_state &Owner, front_request Arrived)
@@ -64,6 +74,8 @@
   Service->Retries.arrived(Request.ArrivedAt);
   Overall.after(std::max(base::duration(1), End - State.Loop.now()),
                 [Self = shared_from_this()] { Self->onTimeout(); });
+  if (Service->Waiters.anyBefore(waiterKey()))
+    return wait();
   startRound();
 }
 
@@ -99,8 +111,7 @@
   const auto Told =
       parseWhole(headerOf(Request.Fields, State.Options.Dialect.Deadline));
   if (Told)
-    End = std::min(End, Request.ArrivedAt + std::chrono::milliseconds(*Told) -
-                            AnswerMargin);
+    End = std::min(End, Request.ArrivedAt + callerTime(*Told));
   UsualTimes = &State.Times[Route->Name];
   return true;
 }
@@ -108,9 +119,11 @@
 void exchange::startRound() {
   Choosing = true;
   placement::candidate_query Query{.Excluded = Seen,
-                                   .Count = Round == 0 ? FirstLooks
-                                                       : FurtherLooks,
-                                   .Anywhere = Round >= AnywhereRound,
+                                   .Count = Polling      ? 1
+                                            : Round == 0 ? FirstLooks
+                                                         : FurtherLooks,
+                                   .Anywhere = Polling ||
+                                               Round >= AnywhereRound,
                                    .Hint = std::exchange(Hint, {})};
   Query.Excluded.insert(SentTo.begin(), SentTo.end());
   const base::instant Now = State.Loop.now();
@@ -196,7 +209,7 @@
   const placement::send_decision Decision =
       placement::decideSend(Offer, admissionRequest());
   const bool Short = Decision != placement::send_decision::Send;
-  if (!Good && Round < MaxRounds + (Short ? 1 : 0) &&
+  if (!Good && !Polling && Round < MaxRounds + (Short ? 1 : 0) &&
       Seen.size() < Service->Placement.size())
     return startRound();
   if (Short)
@@ -215,12 +228,16 @@
   dropLooks();
   Choosing = false;
   send(Target, std::move(Channel), Factor);
+  // Where one found room, the next may.
+  if (std::exchange(Polling, false)) {
+    if (const auto Next = Service->Waiters.takeFirst())
+      Next->targetFreed({});
+  }
 }
 
 placement::admission_request exchange::admissionRequest() const {
   const base::instant Now = State.Loop.now();
-  return {.UsualTime = UsualTimes->quantile(UsualQuantile)
-                           .value_or(base::duration()),
+  return {.UsualTime = UsualTimes->estimate(),
           .ToObjective = Request.ArrivedAt +
                          std::chrono::milliseconds(Route->ObjectiveMs) - Now,
           .ToEnd = End - Now};
@@ -230,15 +247,11 @@
   dropLooks();
   Seen.clear();
   Round = 0;
+  Polling = false;
   const bool Waits = Decision == placement::send_decision::Wait &&
                      !anyRunning() && State.Loop.now() + FullPause < End;
-  if (Waits) {
-    Service->Waiters.add(waiterKey(), weak_from_this());
-    return RoundTimer.after(FullPause, [Self = shared_from_this()] {
-      Self->stopWaiting();
-      Self->startRound();
-    });
-  }
+  if (Waits)
+    return wait();
   Choosing = false;
   if (Attempts.empty())
     LastFailure = {base::error_kind::Saturated, "no target has room"};
@@ -258,9 +271,34 @@
     Service->Waiters.remove(waiterKey());
 }
 
+void exchange::wait() {
+  Choosing = true;
+  Service->Waiters.add(waiterKey(), weak_from_this());
+  RoundTimer.after(FullPause,
+                   [Self = shared_from_this()] { Self->onWaited(); });
+}
+
+void exchange::onWaited() {
+  const bool Hopeless =
+      placement::decideSend(std::nullopt, admissionRequest()) ==
+      placement::send_decision::Refuse;
+  // One of an entry's waiting requests looks for room, and those whose time is
+  // over look a last time.
+  if (!Hopeless && !Service->Waiters.isFirst(waiterKey()))
+    return wait();
+  stopWaiting();
+  poll({});
+}
+
 void exchange::targetFreed(const std::string &Target) {
   RoundTimer.cancel();
-  Hint = Target;
+  poll(Target);
+}
+
+void exchange::poll(const std::string &First) {
+  Polling = true;
+  Round = 0;
+  Hint = First;
   startRound();
 }
 
@@ -384,10 +422,8 @@
   const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
   const bool Success = Answer.Status < FirstRedirect;
   if (Success && Signed && !Encoded) {
-    UsualTimes->record(base::duration(static_cast<base::duration::rep>(
-        static_cast<double>(
-            (State.Loop.now() - Attempts[Index].SentAt).count()) /
-        Attempts[Index].ExpectedFactor)));
+    UsualTimes->record(State.Loop.now() - Attempts[Index].SentAt,
+                       Attempts[Index].ExpectedFactor);
     endAttempt(Index, attempt_quality::Good);
     return deliver(std::move(Answer));
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -69,7 +69,11 @@
   void decide();
   [[nodiscard]] placement::admission_request admissionRequest() const;
   [[nodiscard]] waiter_key waiterKey() const;
+  void wait();
+  void onWaited();
   void stopWaiting();
+  /// Looks at one target for a request that has waited.
+  void poll(const std::string &First);
   void lookAgainLater(placement::send_decision Decision);
   [[nodiscard]] look *best() const;
   void send(const std::string &Target, channel_ptr Channel,
@@ -105,12 +109,15 @@
   bool Idempotent = false;
   base::instant End{};
   /// Of the route; owned by the gateway's state.
-  routing::service_times *UsualTimes = nullptr;
+  placement::usual_time *UsualTimes = nullptr;
 
   std::vector<std::shared_ptr<look>> Looks;
   std::set<std::string> Seen;
   std::set<std::string> SentTo;
   std::size_t Round = 0;
+  /// Waited before; looks at one target at a time, so that the waiting requests
+  /// of many entries don't all send to the slot that becomes free.
+  bool Polling = false;
   /// Target to look at first in the next round.
   std::string Hint;
   /// Looks are under way, or a pause between them.
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -7,6 +7,7 @@
 #include "fulmar/gateway/gateway.h"
 #include "fulmar/placement/probebudget.h"
 #include "fulmar/placement/serviceplacement.h"
+#include "fulmar/placement/usualtime.h"
 #include "fulmar/placement/windowbudget.h"
 #include "internal/channelpool.h"
 
@@ -40,6 +41,13 @@
     Waiters[Key] = std::move(Waiter);
   }
   void remove(const waiter_key &Key) { Waiters.erase(Key); }
+  [[nodiscard]] bool isFirst(const waiter_key &Key) const {
+    return !Waiters.empty() && Waiters.begin()->first == Key;
+  }
+  /// Somebody waits who goes before \p Key.
+  [[nodiscard]] bool anyBefore(const waiter_key &Key) const {
+    return !Waiters.empty() && Waiters.begin()->first < Key;
+  }
   /// Takes the first out; null when nobody waits.
   std::shared_ptr<exchange> takeFirst();
 
@@ -94,7 +102,7 @@
   /// By route name.
   std::map<std::string, share_sequence> Shares;
   /// Times of good answers, by route name.
-  std::map<std::string, routing::service_times> Times;
+  std::map<std::string, placement::usual_time> Times;
   std::set<std::string> Quarantined;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -16,6 +16,9 @@
 constexpr base::duration DefaultIdleLimit = std::chrono::seconds(8);
 /// Time between our close and the target's.
 constexpr base::duration IdleMargin = std::chrono::seconds(1);
+/// A target that does not accept a connection is taken for unreachable: many
+/// round trips, and time to send elsewhere.
+constexpr base::duration ConnectLimit = std::chrono::milliseconds(250);
 /// Headers of an answer; well above what targets send.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64U << 10U;
 
@@ -25,7 +28,8 @@
                                std::string TargetKey, tcp::endpoint At,
                                const dialect &Names)
     : Loop(OwningLoop), Key(std::move(TargetKey)), Endpoint(std::move(At)),
-      Dialect(Names), Socket(Loop.context()), IdleLimit(DefaultIdleLimit) {}
+      Dialect(Names), Socket(Loop.context()), ConnectTimer(Loop),
+      IdleLimit(DefaultIdleLimit) {}
 
 void target_channel::call(target_call Next, handler Called) {
   Call = std::move(Next);
@@ -46,8 +50,14 @@
 }
 
 void target_channel::connect() {
+  ConnectTimer.after(ConnectLimit, [Self = shared_from_this()] {
+    if (Self->Done && !Self->Connected)
+      Self->finish(
+          base::fail(base::error_kind::Unreachable, "connecting timed out"));
+  });
   Socket.async_connect(
       Endpoint, [Self = shared_from_this()](error_code Failed) {
+        Self->ConnectTimer.cancel();
         if (!Self->Done)
           return;
         if (Failed)
@@ -184,6 +194,7 @@
 
 void target_channel::close() {
   Done = {};
+  ConnectTimer.cancel();
   Tainted = true;
   error_code Ignored;
   Socket.close(Ignored);
--- a/modules/gateway/internal/targetchannel.h
+++ b/modules/gateway/internal/targetchannel.h
@@ -81,6 +81,7 @@
   tcp::endpoint Endpoint;
   const dialect &Dialect;
   tcp::socket Socket;
+  eventloop::timer ConnectTimer;
   bool Connected = false;
   bool Writing = false;
   /// Not fit for another call.
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -87,8 +87,8 @@
   /// Compares the targets' times and error rates.
   void evaluate(base::instant Now) { Health.evaluate(Now); }
   [[nodiscard]] const routing::service_times &times() const { return Times; }
-  /// False once a target answered a look without its load.
-  [[nodiscard]] bool tellsLoad() const { return TellsLoad; }
+  /// False while targets answer looks without their load.
+  [[nodiscard]] bool tellsLoad() const { return Silent < MaxSilent; }
 
 private:
   struct target {
@@ -113,7 +113,9 @@
   std::map<std::string, target> Targets;
   routing::outlier_detector Health;
   routing::service_times Times;
-  bool TellsLoad = true;
+  /// Looks in a row that were answered without a load.
+  std::uint32_t Silent = 0;
+  static constexpr std::uint32_t MaxSilent = 8;
 };
 
 } // namespace fulmar::placement
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -139,8 +139,7 @@
   Found->second.AwayUntil = {};
   Found->second.ColdUntil =
       Load.ColdLeft.count() > 0 ? Now + Load.ColdLeft : base::instant{};
-  if (Load.Slots == 0)
-    TellsLoad = false;
+  Silent = Load.Slots == 0 ? Silent + 1 : 0;
 }
 
 void service_placement::unreachable(const std::string &Target,
