Save looks up for surges; log a line for each request

Change: looks of 15 s may be saved up; sends whose run would be cut off are not made; no second run while requests wait. Each request's end is one log line with its sends, what each target said before, and the time it had; lines of one kind are bounded a second and never block.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -41,6 +41,30 @@
 /// Part of the objective after which a second target is asked.
 constexpr double HedgeShare = 0.55;
 
+std::string_view nameOf(attempt_quality Quality) {
+  switch (Quality) {
+  case attempt_quality::Good:
+    return "good";
+  case attempt_quality::Error:
+    return "error";
+  case attempt_quality::Break:
+    return "break";
+  case attempt_quality::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+/// Running, waiting, hidden, slots and percent of the usual time.
+std::string describe(const placement::admission_offer &Offer) {
+  constexpr double Percent = 100;
+  const placement::load_report &Load = Offer.Load;
+  return std::to_string(Load.Running) + "+" + std::to_string(Load.Waiting) +
+         "+" + std::to_string(Offer.Hidden) + "/" +
+         std::to_string(Load.Slots) + "x" +
+         std::to_string(static_cast<int>(Load.Slowdown * Percent));
+}
+
 /// What is left of the time that a caller told, when it arrives here.
 base::duration callerTime(std::uint64_t ToldMs) {
   // Longer than any route's time.
@@ -166,7 +190,7 @@
   Choosing = false;
   if (!Channel || !Service->Placement.admit(*Least, State.Loop.now()))
     return sendAgain();
-  send(*Least, std::move(Channel), 1);
+  send(*Least, std::move(Channel), {});
 }
 
 void exchange::onLook() {
@@ -223,11 +247,11 @@
     });
     return decide();
   }
-  const double Factor = placement::expectedTime(Best->load(), Best->hidden());
+  const placement::admission_offer Taken = *Offer;
   channel_ptr Channel = Best->takeChannel();
   dropLooks();
   Choosing = false;
-  send(Target, std::move(Channel), Factor);
+  send(Target, std::move(Channel), Taken);
   // Where one found room, the next may.
   if (std::exchange(Polling, false)) {
     if (const auto Next = Service->Waiters.takeFirst())
@@ -329,7 +353,7 @@
 }
 
 void exchange::send(const std::string &Target, channel_ptr Channel,
-                    double ExpectedFactor) {
+                    const placement::admission_offer &Offer) {
   if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
     State.Pool.release(Channel);
     if (!anyRunning())
@@ -341,7 +365,9 @@
   Attempts.push_back({.Target = Target,
                       .Channel = Channel,
                       .SentAt = State.Loop.now(),
-                      .ExpectedFactor = ExpectedFactor});
+                      .ExpectedFactor =
+                          placement::expectedTime(Offer.Load, Offer.Hidden),
+                      .Seen = describe(Offer)});
   const std::size_t Index = Attempts.size() - 1;
   Channel->call({.Head = headFor(Target),
                  .Body = Request.Body,
@@ -366,7 +392,8 @@
 }
 
 void exchange::hedge() {
-  if (Choosing || !anyRunning() ||
+  // While the service is short of room, a second run only takes some away.
+  if (Choosing || !anyRunning() || !Service->Waiters.empty() ||
       !Service->Retries.available(State.Loop.now()))
     return;
   Round = 0;
@@ -382,6 +409,9 @@
 void exchange::endAttempt(std::size_t Index, attempt_quality Quality) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
+  Attempt.Outcome = std::string(nameOf(Quality)) + "@" +
+                    std::to_string(millisecondsOf(State.Loop.now() -
+                                                  Request.ArrivedAt));
   const base::instant Now = State.Loop.now();
   Service->Placement.ended(Attempt.Target, Quality, Now - Attempt.SentAt, Now);
   if (Attempt.Channel)
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -56,6 +56,10 @@
     base::instant SentAt{};
     /// Time expected relative to an idle, undisturbed target.
     double ExpectedFactor = 1;
+    /// What the target said of itself just before the send.
+    std::string Seen;
+    /// How the send ended, for the log.
+    std::string Outcome = "open";
     bool Running = true;
   };
 
@@ -77,7 +81,7 @@
   void lookAgainLater(placement::send_decision Decision);
   [[nodiscard]] look *best() const;
   void send(const std::string &Target, channel_ptr Channel,
-            double ExpectedFactor);
+            const placement::admission_offer &Offer);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
   void armHedge();
   void hedge();
@@ -95,7 +99,8 @@
   void finish(front_answer Answer);
   void dropLooks();
   void dropAttempts(routing::attempt_quality Quality);
-  void log(const front_answer &Answer, std::string_view Cause) const;
+  void log(unsigned Status, std::string_view Cause) const;
+  [[nodiscard]] std::string sendsText() const;
 
   gateway_state &State;
   front_request Request;
@@ -125,6 +130,8 @@
   std::vector<attempt> Attempts;
   /// Some send may have run at its target.
   bool MayHaveRun = false;
+  /// Why the answer is not a target's; empty when it is.
+  std::string Cause;
   base::error LastFailure{base::error_kind::NoTarget, "no target"};
   /// A target's own failure, in case nothing better comes.
   std::unique_ptr<target_answer> OwnFailure;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -61,20 +61,20 @@
                                      absl::Uniform(State.Random, 0.0, 1.0));
     appendHeader(Out.Headers, "Retry-After", secondsText(Return));
   }
-  log(Out, Error.Message);
+  Cause = Error.Message;
   finish(std::move(Out));
 }
 
 void exchange::giveUp() {
   if (OwnFailure && !anyRunning())
     return deliver(std::move(*OwnFailure));
-  base::error Cause = LastFailure;
+  base::error Failure = LastFailure;
   if (!MayHaveRun)
-    Cause.Kind = Attempts.empty() ? LastFailure.Kind
+    Failure.Kind = Attempts.empty() ? LastFailure.Kind
                                   : base::error_kind::Saturated;
-  else if (Cause.Kind != base::error_kind::TargetTimeout)
-    Cause.Kind = base::error_kind::OutcomeUnknown;
-  fail(Cause);
+  else if (Failure.Kind != base::error_kind::TargetTimeout)
+    Failure.Kind = base::error_kind::OutcomeUnknown;
+  fail(Failure);
 }
 
 void exchange::finish(front_answer Answer) {
@@ -86,6 +86,7 @@
   Choosing = false;
   stopWaiting();
   --State.Running;
+  log(Answer.Status, Cause);
   const base::duration Elapsed = State.Loop.now() - Request.ArrivedAt;
   State.Metrics.latencyOf("fulmar_request_seconds").record(Elapsed);
   State.Metrics
@@ -109,6 +110,7 @@
   Choosing = false;
   stopWaiting();
   --State.Running;
+  log(0, "the caller has gone");
   State.Metrics.counterOf("fulmar_requests_abandoned_total").add();
 }
 
@@ -132,20 +134,34 @@
   }
 }
 
-void exchange::log(const front_answer &Answer, std::string_view Cause) const {
+std::string exchange::sendsText() const {
+  std::string Text;
+  for (const attempt &Attempt : Attempts)
+    Text += (Text.empty() ? "" : ",") + Attempt.Target + ":" +
+            std::to_string(millisecondsOf(Attempt.SentAt - Request.ArrivedAt)) +
+            ":" + Attempt.Seen + ":" + Attempt.Outcome;
+  return Text;
+}
+
+void exchange::log(unsigned Status, std::string_view Reason) const {
+  const bool Failed = !Reason.empty();
   telemetry::logChange(
-      telemetry::log_level::Warning, "gateway", "request-failed",
+      Failed ? telemetry::log_level::Warning : telemetry::log_level::Info,
+      "gateway", Failed ? "request-failed" : "request-answered",
       {{"request", RequestId},
        {"route", Route == nullptr ? "" : Route->Name},
        {"plan", Plan ? std::to_string(Plan->Version) : "none"},
-       {"status", std::to_string(Answer.Status)},
-       {"cause", std::string(Cause)},
-       {"sends", std::to_string(Attempts.size())},
-       {"last_target", Attempts.empty() ? "" : Attempts.back().Target},
-       {"elapsed_ms",
-        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                           State.Loop.now() - Request.ArrivedAt)
-                           .count())}});
+       {"service", Service ? Service->Service.Name : ""},
+       {"status", std::to_string(Status)},
+       {"cause", std::string(Reason)},
+       {"sends", sendsText()},
+       {"usual_ms",
+        std::to_string(UsualTimes == nullptr
+                           ? 0
+                           : millisecondsOf(UsualTimes->estimate()))},
+       {"had_ms", std::to_string(millisecondsOf(End - Request.ArrivedAt))},
+       {"took_ms", std::to_string(millisecondsOf(State.Loop.now() -
+                                                 Request.ArrivedAt))}});
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -41,6 +41,7 @@
     Waiters[Key] = std::move(Waiter);
   }
   void remove(const waiter_key &Key) { Waiters.erase(Key); }
+  [[nodiscard]] bool empty() const { return Waiters.empty(); }
   [[nodiscard]] bool isFirst(const waiter_key &Key) const {
     return !Waiters.empty() && Waiters.begin()->first == Key;
   }
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -47,6 +47,9 @@
     return Hope ? send_decision::Wait : send_decision::Refuse;
   const double Factor = std::min(
       MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
+  // It would be cut off before it ends.
+  if (scaled(Request.UsualTime, Factor) > Request.ToEnd)
+    return Hope ? send_decision::Wait : send_decision::Refuse;
   const bool OnTime =
       scaled(Request.UsualTime, Factor * NoiseMargin) <= Request.ToObjective;
   if (OnTime || !Hope)
--- a/modules/placement/internal/probebudget.cpp
+++ b/modules/placement/internal/probebudget.cpp
@@ -1,4 +1,4 @@
-// A token bucket that holds what one second gives.
+// A token bucket that holds what some quiet seconds left over.
 
 #include "fulmar/placement/probebudget.h"
 
@@ -9,7 +9,10 @@
 namespace {
 
 /// Part of the bound that is used; entries don't get equal shares of requests.
-constexpr double UsedShare = 0.75;
+constexpr double UsedShare = 0.8;
+/// Seconds whose looks may be saved up: the bound is one over a long time, and
+/// surges are when looks are worth most.
+constexpr double SavedSeconds = 15;
 /// Enough for a request while no target is known.
 constexpr double MinRate = 5;
 
@@ -23,9 +26,10 @@
 
 std::size_t probe_budget::take(std::size_t Wanted, base::instant Now) {
   constexpr double MicrosPerSecond = 1e6;
+  // The first call finds the bucket full.
   const double Elapsed =
       static_cast<double>((Now - FilledAt).count()) / MicrosPerSecond;
-  Tokens = std::min(Rate, Tokens + Elapsed * Rate);
+  Tokens = std::min(Rate * SavedSeconds, Tokens + Elapsed * Rate);
   FilledAt = Now;
   const auto Taken =
       std::min(Wanted, static_cast<std::size_t>(std::max(0.0, Tokens)));
--- a/modules/telemetry/internal/log.cpp
+++ b/modules/telemetry/internal/log.cpp
@@ -2,7 +2,9 @@
 
 #include "fulmar/telemetry/log.h"
 
+#include "internal/linebudget.h"
 #include "internal/logline.h"
+#include "internal/standardoutput.h"
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -14,7 +16,9 @@
 #include <exception>
 #include <iostream>
 #include <memory>
-#include <span>
+#include <mutex>
+#include <optional>
+#include <vector>
 
 namespace fulmar::telemetry {
 
@@ -34,6 +38,18 @@
 
 std::atomic<bool> Started{false};
 
+/// Lines of one kind in a second; some ten entries' requests on a usual day.
+constexpr std::uint32_t MaxLinesPerSecond = 100;
+
+std::optional<std::uint64_t> admit(std::string_view Component,
+                                   std::string_view Event) {
+  static std::mutex Mutex;
+  static line_budget Budget(MaxLinesPerSecond);
+  const std::lock_guard<std::mutex> Lock(Mutex);
+  return Budget.admit(std::string(Component) + "/" + std::string(Event),
+                      base::steady_clock().now());
+}
+
 log4cxx::LevelPtr levelOf(log_level Level) {
   switch (Level) {
   case log_level::Debug:
@@ -61,8 +77,7 @@
 log4cxx::AppenderPtr makeAppender(const std::string &File) {
   const auto Layout = std::make_shared<log4cxx::PatternLayout>(LinePattern);
   if (File == StandardOutput)
-    return std::make_shared<log4cxx::ConsoleAppender>(
-        Layout, log4cxx::ConsoleAppender::getSystemOut());
+    return std::make_shared<standard_output>(Layout);
   if (File.empty())
     return std::make_shared<log4cxx::ConsoleAppender>(
         Layout, log4cxx::ConsoleAppender::getSystemErr());
@@ -96,7 +111,12 @@
     const log4cxx::LevelPtr LibraryLevel = levelOf(Level);
     if (!Logger->isEnabledFor(LibraryLevel))
       return;
-    const std::span<const log_field> All(Fields.begin(), Fields.size());
+    const auto LeftOut = admit(Component, Event);
+    if (!LeftOut)
+      return;
+    std::vector<log_field> All(Fields);
+    if (*LeftOut > 0)
+      All.emplace_back("left_out_before", std::to_string(*LeftOut));
     Logger->forcedLog(LibraryLevel,
                       logLine(Level, instanceName(), Component, Event, All));
   } catch (const std::exception &Failure) {
