Tell returning callers by their deadline; keep idle connections; near targets first

Change: the time that a caller says it waits, below what callers of the route usually say, is the age of its request. One idle connection to each near target is refreshed by a look. Large bodies stay in the data centre while it has room.

--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -6,6 +6,13 @@
 
 namespace fulmar::gateway {
 
+namespace {
+
+/// Above the interval between two sweeps.
+constexpr base::duration RefreshMargin = std::chrono::milliseconds(600);
+
+} // namespace
+
 channel_pool::channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
                            telemetry::metrics &Registry)
     : Loop(OwningLoop), Dialect(Names),
@@ -41,18 +48,30 @@
   Idle[Channel->key()].push_back(Channel);
 }
 
-void channel_pool::sweep() {
+std::vector<channel_ptr> channel_pool::sweep() {
   const base::instant Now = Loop.now();
-  for (auto Entry = Idle.begin(); Entry != Idle.end();) {
-    std::erase_if(Entry->second, [Now](const channel_ptr &Channel) {
-      const bool Fit = Channel->reusable() &&
-                       Now - Channel->idleSince() < Channel->idleLimit();
-      if (!Fit)
+  std::vector<channel_ptr> Stale;
+  for (auto &[Key, Held] : Idle) {
+    const auto IsStale = [Now](const channel_ptr &Channel) {
+      return Now - Channel->idleSince() + RefreshMargin >=
+             Channel->idleLimit();
+    };
+    std::erase_if(Held, [](const channel_ptr &Channel) {
+      return !Channel->reusable();
+    });
+    const bool AllStale = std::all_of(Held.begin(), Held.end(), IsStale);
+    if (AllStale && !Held.empty()) {
+      Stale.push_back(Held.back());
+      Held.pop_back();
+    }
+    std::erase_if(Held, [&IsStale](const channel_ptr &Channel) {
+      if (IsStale(Channel))
         Channel->close();
-      return !Fit;
+      return IsStale(Channel);
     });
-    Entry = Entry->second.empty() ? Idle.erase(Entry) : std::next(Entry);
   }
+  std::erase_if(Idle, [](const auto &Entry) { return Entry.second.empty(); });
+  return Stale;
 }
 
 void channel_pool::keepOnly(const std::set<std::string> &Keys) {
--- a/modules/gateway/internal/channelpool.h
+++ b/modules/gateway/internal/channelpool.h
@@ -27,8 +27,9 @@
   channel_ptr acquire(const fleet::target_report &Target);
   /// Keeps the connection for another call if it is fit for one.
   void release(const channel_ptr &Channel);
-  /// Closes what has been idle for too long.
-  void sweep();
+  /// Closes what has been idle for too long, but for one connection to each
+  /// target: that is returned, to be refreshed by a call.
+  std::vector<channel_ptr> sweep();
   /// Closes the idle connections of all other targets.
   void keepOnly(const std::set<std::string> &Keys);
 
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -20,6 +20,8 @@
 /// From this round on, targets of other data centres and cold ones are as good
 /// as near and warm ones.
 constexpr std::size_t AnywhereRound = 2;
+/// Larger bodies go to another data centre only where the own has no room.
+constexpr std::size_t MaxBodyAbroad = std::size_t(16) << 10;
 /// A look that is not answered by then counts as a slow target's: several
 /// times a probe's usual time.
 constexpr base::duration LookWait = std::chrono::milliseconds(25);
@@ -131,12 +133,18 @@
     return false;
   }
   Idempotent = Route->Repeatability == fleet::repeatability::Idempotent;
+  Times = &State.Times[Route->Name];
   End = Request.ArrivedAt + std::chrono::milliseconds(Route->TimeoutMs);
+  FirstSentAt = Request.ArrivedAt;
   const auto Told =
       parseWhole(headerOf(Request.Fields, State.Options.Dialect.Deadline));
-  if (Told)
-    End = std::min(End, Request.ArrivedAt + callerTime(*Told));
-  UsualTimes = &State.Times[Route->Name];
+  if (Told) {
+    const base::duration Left = callerTime(*Told);
+    End = std::min(End, Request.ArrivedAt + Left);
+    const base::duration Usually = Times->Told.estimate();
+    FirstSentAt -= std::max(base::duration(), Usually - Left);
+    Times->Told.record(Left);
+  }
   return true;
 }
 
@@ -148,6 +156,8 @@
                                                          : FurtherLooks,
                                    .Anywhere = Polling ||
                                                Round >= AnywhereRound,
+                                   .FillAbroad = Request.Body->size() <=
+                                                 MaxBodyAbroad,
                                    .Hint = std::exchange(Hint, {})};
   Query.Excluded.insert(SentTo.begin(), SentTo.end());
   const base::instant Now = State.Loop.now();
@@ -261,8 +271,8 @@
 
 placement::admission_request exchange::admissionRequest() const {
   const base::instant Now = State.Loop.now();
-  return {.UsualTime = UsualTimes->estimate(),
-          .ToObjective = Request.ArrivedAt +
+  return {.UsualTime = Times->Usual.estimate(),
+          .ToObjective = FirstSentAt +
                          std::chrono::milliseconds(Route->ObjectiveMs) - Now,
           .ToEnd = End - Now};
 }
@@ -285,7 +295,7 @@
 
 waiter_key exchange::waiterKey() const {
   return {.Priority = Route->Priority,
-          .Objective = Request.ArrivedAt +
+          .Objective = FirstSentAt +
                        std::chrono::milliseconds(Route->ObjectiveMs),
           .Request = this};
 }
@@ -452,8 +462,9 @@
   const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
   const bool Success = Answer.Status < FirstRedirect;
   if (Success && Signed && !Encoded) {
-    UsualTimes->record(State.Loop.now() - Attempts[Index].SentAt,
-                       Attempts[Index].ExpectedFactor);
+    Times->Usual.record(
+        placement::normalised(State.Loop.now() - Attempts[Index].SentAt,
+                              Attempts[Index].ExpectedFactor));
     endAttempt(Index, attempt_quality::Good);
     return deliver(std::move(Answer));
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -114,7 +114,9 @@
   bool Idempotent = false;
   base::instant End{};
   /// Of the route; owned by the gateway's state.
-  placement::usual_time *UsualTimes = nullptr;
+  placement::route_times *Times = nullptr;
+  /// When the caller first sent the request, as far as its deadline tells.
+  base::instant FirstSentAt{};
 
   std::vector<std::shared_ptr<look>> Looks;
   std::set<std::string> Seen;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -55,7 +55,7 @@
     appendHeader(Out.Headers, State.Options.Dialect.RequestId, RequestId);
   if (Out.Status == StatusUnavailable) {
     const base::duration Return =
-        UsualTimes == nullptr
+        Times == nullptr
             ? base::duration(UnroutedReturn)
             : placement::returnAfter(admissionRequest(),
                                      absl::Uniform(State.Random, 0.0, 1.0));
@@ -156,10 +156,17 @@
        {"cause", std::string(Reason)},
        {"sends", sendsText()},
        {"usual_ms",
-        std::to_string(UsualTimes == nullptr
+        std::to_string(Times == nullptr
                            ? 0
-                           : millisecondsOf(UsualTimes->estimate()))},
-       {"had_ms", std::to_string(millisecondsOf(End - Request.ArrivedAt))},
+                           : millisecondsOf(Times->Usual.estimate()))},
+       {"age_ms", std::to_string(Times == nullptr
+                                     ? 0
+                                     : millisecondsOf(Request.ArrivedAt -
+                                                      FirstSentAt))},
+       {"had_ms", std::to_string(Times == nullptr
+                                     ? 0
+                                     : millisecondsOf(End -
+                                                      Request.ArrivedAt))},
        {"took_ms", std::to_string(millisecondsOf(State.Loop.now() -
                                                  Request.ArrivedAt))}});
 }
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -44,8 +44,30 @@
   });
 }
 
+/// Asks for a target's health, so that an idle connection is kept: opening
+/// another one costs the target more than a look.
+void refresh(gateway_state &State, const channel_ptr &Channel) {
+  for (const auto &[Name, Service] : State.Services) {
+    const fleet::target_report *Target =
+        Service->Placement.find(Channel->targetId());
+    if (Target == nullptr ||
+        Target->DataCentre != State.Options.DataCentre)
+      continue;
+    std::string Head =
+        "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
+    appendHeader(Head, "Host", Target->Address);
+    Head += "\r\n";
+    return Channel->call({.Head = std::move(Head)},
+                         [&State, Channel](const auto & /*Answer*/) {
+                           State.Pool.release(Channel);
+                         });
+  }
+  Channel->close();
+}
+
 void sweep(gateway_state &State) {
-  State.Pool.sweep();
+  for (const channel_ptr &Channel : State.Pool.sweep())
+    refresh(State, Channel);
   // Closing a session takes it out of the set later.
   for (const auto &Session : State.Sessions)
     Session->sweep();
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -6,8 +6,8 @@
 #include "fulmar/fleet/routetable.h"
 #include "fulmar/gateway/gateway.h"
 #include "fulmar/placement/probebudget.h"
+#include "fulmar/placement/recenttimes.h"
 #include "fulmar/placement/serviceplacement.h"
-#include "fulmar/placement/usualtime.h"
 #include "fulmar/placement/windowbudget.h"
 #include "internal/channelpool.h"
 
@@ -102,8 +102,8 @@
   std::map<std::string, service_ptr> Services;
   /// By route name.
   std::map<std::string, share_sequence> Shares;
-  /// Times of good answers, by route name.
-  std::map<std::string, placement::usual_time> Times;
+  /// By route name.
+  std::map<std::string, placement::route_times> Times;
   std::set<std::string> Quarantined;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
--- a/modules/gateway/internal/targetchannel.h
+++ b/modules/gateway/internal/targetchannel.h
@@ -52,6 +52,9 @@
   void close();
 
   [[nodiscard]] const std::string &key() const { return Key; }
+  [[nodiscard]] std::string targetId() const {
+    return Key.substr(0, Key.find('/'));
+  }
   /// Idle, connected, and fit for another call.
   [[nodiscard]] bool reusable() const {
     return Connected && !Done && !Tainted && !Writing && Socket.is_open();
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -41,6 +41,9 @@
   /// Also targets of other data centres, and cold ones, before those of the own
   /// are used up.
   bool Anywhere = false;
+  /// Targets of other data centres where too few of the own are left; not for
+  /// bodies that cost more to carry than a better target gains.
+  bool FillAbroad = true;
   /// To be looked at first where it is fit; empty for none.
   std::string Hint;
 };
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -108,11 +108,8 @@
       if (Chosen.size() < Query.Count)
         Chosen.push_back(std::move(Id));
     }
-    // Cold targets and absent ones only where there is nothing else.
-    const bool Warm = &Class < &ByClass[2];
-    if (Chosen.size() >= Query.Count || (!Warm && !Chosen.empty()))
-      break;
-    if (&Class == &ByClass[1] && !Chosen.empty())
+    const bool Fills = &Class == &ByClass[0] && Query.FillAbroad;
+    if (Chosen.size() >= Query.Count || (!Chosen.empty() && !Fills))
       break;
   }
   return Chosen;
