--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t FirstLooks = 2;
 constexpr std::size_t FurtherLooks = 3;
 /// Rounds after which the best target found is taken.
-constexpr std::size_t MaxRounds = 2;
+constexpr std::size_t MaxRounds = 3;
 /// From this round on, targets of other data centres and cold ones are as good
 /// as near and warm ones.
 constexpr std::size_t AnywhereRound = 2;
@@ -141,8 +141,7 @@
   if (Told) {
     const base::duration Left = callerTime(*Told);
     End = std::min(End, Request.ArrivedAt + Left);
-    const base::duration Usually = Times->Told.estimate();
-    FirstSentAt -= std::max(base::duration(), Usually - Left);
+    FirstSentAt -= placement::ageOf(Left, *Times);
     Times->Told.record(Left);
   }
   return true;
@@ -156,8 +155,7 @@
                                                          : FurtherLooks,
                                    .Anywhere = Polling ||
                                                Round >= AnywhereRound,
-                                   .FillAbroad = Request.Body->size() <=
-                                                 MaxBodyAbroad,
+                                   .FillAbroad = !isLarge(),
                                    .Hint = std::exchange(Hint, {})};
   Query.Excluded.insert(SentTo.begin(), SentTo.end());
   const base::instant Now = State.Loop.now();
@@ -232,6 +230,15 @@
   return Best;
 }
 
+bool exchange::isLarge() const {
+  return Request.Body->size() > MaxBodyAbroad;
+}
+
+/// A large body is worth a look abroad only where there is no room near.
+std::size_t exchange::maxRounds(bool Short) const {
+  return isLarge() && !Short ? MaxRounds - 1 : MaxRounds;
+}
+
 void exchange::decide() {
   RoundTimer.cancel();
   look *Best = best();
@@ -243,7 +250,7 @@
   const placement::send_decision Decision =
       placement::decideSend(Offer, admissionRequest());
   const bool Short = Decision != placement::send_decision::Send;
-  if (!Good && !Polling && Round < MaxRounds + (Short ? 1 : 0) &&
+  if (!Good && !Polling && Round < maxRounds(Short) &&
       Seen.size() < Service->Placement.size())
     return startRound();
   if (Short)
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -70,6 +70,8 @@
   void lookAt(const std::vector<std::string> &Ids);
   void sendUnseen(const std::vector<std::string> &Ids);
   void onLook();
+  [[nodiscard]] bool isLarge() const;
+  [[nodiscard]] std::size_t maxRounds(bool Short) const;
   void decide();
   [[nodiscard]] placement::admission_request admissionRequest() const;
   [[nodiscard]] waiter_key waiterKey() const;
--- a/modules/placement/include/fulmar/placement/recenttimes.h
+++ b/modules/placement/include/fulmar/placement/recenttimes.h
@@ -39,6 +39,10 @@
   recent_times Told{0.6};
 };
 
+/// How long ago a request was first sent whose caller still waits for \p Left;
+/// 0 where that is within what callers differ by.
+base::duration ageOf(base::duration Left, const route_times &Times);
+
 /// \p Elapsed without the delay that was expected when the request was sent.
 base::duration normalised(base::duration Elapsed, double ExpectedFactor);
 
--- a/modules/placement/internal/recenttimes.cpp
+++ b/modules/placement/internal/recenttimes.cpp
@@ -23,6 +23,13 @@
   return *Place;
 }
 
+base::duration ageOf(base::duration Left, const route_times &Times) {
+  // Callers of one route differ by some tenths in how long they wait.
+  constexpr int PercentOfUsual = 80;
+  const base::duration Usually = Times.Told.estimate() * PercentOfUsual / 100;
+  return std::max(base::duration(), Usually - Left);
+}
+
 base::duration normalised(base::duration Elapsed, double ExpectedFactor) {
   const double Micros =
       static_cast<double>(Elapsed.count()) / std::max(1.0, ExpectedFactor);
