--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -39,6 +39,10 @@
   control_node(eventloop::loop &OwningLoop, control_node_options Chosen,
                telemetry::metrics &Registry);
 
+  ~control_node();
+  control_node(const control_node &) = delete;
+  control_node &operator=(const control_node &) = delete;
+
   base::result<void> start();
   /// Hands leadership over; call \p Done when that is settled or takes too
   /// long.
@@ -138,6 +142,8 @@
   std::map<std::string, std::vector<std::string>> ListedBy;
   publication::serial Announced = 0;
   std::vector<std::string> AnnouncedControls;
+  /// Expires with this object; posted work checks it.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool FlushScheduled = false;
   bool Failed = false;
   eventloop::timer Ticker;
--- a/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
+++ b/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
@@ -40,8 +40,8 @@
   /// What to do about \p Newcomer's request.
   [[nodiscard]] std::optional<voter_change>
   onJoinRequest(const std::string &Newcomer,
-                const consensus::configuration &Members, const std::string &Self,
-                base::instant Now) const;
+                const consensus::configuration &Members,
+                const std::string &Self, base::instant Now) const;
 
 private:
   [[nodiscard]] bool isSilent(const std::string &Id, base::instant Now) const;
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -65,14 +65,17 @@
       Server(Loop), Ticker(Loop), Announcer(Loop), Maintainer(Loop),
       HandOverLimit(Loop) {}
 
+control_node::~control_node() {
+  for (const auto &[Raw, Held] : Accepted)
+    Held.Link->close();
+}
+
 base::result<void> control_node::start() {
-  BOOST_OUTCOME_TRY(Opened,
-                    consensus::replicated_log::open(logOptions(Options), Files,
-                                                    State, Loop.now()));
+  BOOST_OUTCOME_TRY(Opened, consensus::replicated_log::open(
+                                logOptions(Options), Files, State, Loop.now()));
   Log = std::move(Opened);
-  BOOST_OUTCOME_TRYV(
-      Server.start(Options.LinkAddress,
-                   [this](const link_ptr &Link) { accept(Link); }));
+  BOOST_OUTCOME_TRYV(Server.start(
+      Options.LinkAddress, [this](const link_ptr &Link) { accept(Link); }));
   addSeeds(Options.Seeds);
   Ticker.every(TickInterval, [this] { tick(); });
   Announcer.every(AnnounceInterval, [this] { announce(); });
@@ -206,8 +209,8 @@
 
 void control_node::take(const link_ptr &Link,
                         const fleetlink::fetch_request &Request) {
-  Link->send(fleetlink::encodeLink(fleetlink::fetch_reply{
-      State.published().changesSince(Request.Since)}));
+  Link->send(fleetlink::encodeLink(
+      fleetlink::fetch_reply{State.published().changesSince(Request.Since)}));
 }
 
 void control_node::take(const link_ptr & /*Link*/,
@@ -229,38 +232,35 @@
   if (!Leads)
     return;
   const base::instant Now = Loop.now();
-  const auto Change = Voters.onJoinRequest(
-      Request.Id, Log->status(Now).Members, Options.LinkAddress, Now);
+  const auto Change = Voters.onJoinRequest(Request.Id, Log->status(Now).Members,
+                                           Options.LinkAddress, Now);
   if (!Change)
     return;
   const bool Adds = Change->Kind == voter_change::kind::Add;
-  const auto Begun = Adds ? Log->addVoter(Change->Id, Now)
-                          : Log->removeVoter(Change->Id, Now);
-  telemetry::logChange(
-      telemetry::log_level::Info, "control",
-      Adds ? "voter-added" : "voter-removed",
-      {{"instance", Change->Id},
-       {"for", Request.Id},
-       {"outcome", Begun ? "begun" : Begun.error().Message}});
+  const auto Begun =
+      Adds ? Log->addVoter(Change->Id, Now) : Log->removeVoter(Change->Id, Now);
+  telemetry::logChange(telemetry::log_level::Info, "control",
+                       Adds ? "voter-added" : "voter-removed",
+                       {{"instance", Change->Id},
+                        {"for", Request.Id},
+                        {"outcome", Begun ? "begun" : Begun.error().Message}});
   scheduleFlush();
 }
 
 void control_node::take(const link_ptr & /*Link*/,
                         const fleetlink::call_request &Request) {
-  callHere(Request.Call, Request.Command,
-           [this, From = Request.From,
-            Id = Request.Id](const call_result &Result) {
-             fleetlink::call_reply Reply{.Id = Id,
-                                         .Succeeded = Result.has_value()};
-             if (Result) {
-               Reply.Reply = Result.value();
-             } else {
-               Reply.ErrorKind =
-                   static_cast<std::uint32_t>(Result.error().Kind);
-               Reply.Message = Result.error().Message;
-             }
-             sendTo(From, std::move(Reply));
-           });
+  callHere(
+      Request.Call, Request.Command,
+      [this, From = Request.From, Id = Request.Id](const call_result &Result) {
+        fleetlink::call_reply Reply{.Id = Id, .Succeeded = Result.has_value()};
+        if (Result) {
+          Reply.Reply = Result.value();
+        } else {
+          Reply.ErrorKind = static_cast<std::uint32_t>(Result.error().Kind);
+          Reply.Message = Result.error().Message;
+        }
+        sendTo(From, std::move(Reply));
+      });
 }
 
 void control_node::take(const link_ptr & /*Link*/,
@@ -318,7 +318,9 @@
   if (FlushScheduled)
     return;
   FlushScheduled = true;
-  Loop.post([this] {
+  Loop.post([this, Mine = std::weak_ptr(Alive)] {
+    if (Mine.expired())
+      return;
     FlushScheduled = false;
     flush();
   });
--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -42,8 +42,7 @@
   return std::exchange(HeardTargets, {});
 }
 
-bool liveness_table::proposedLately(const std::string &Key,
-                                    base::instant Now) {
+bool liveness_table::proposedLately(const std::string &Key, base::instant Now) {
   const auto Found = ProposedAt.find(Key);
   if (Found != ProposedAt.end() && Now - Found->second < ProposalPause)
     return true;
@@ -82,8 +81,7 @@
     const base::instant Last = std::max(
         LeaderSince, Heard == Entries.end() ? LeaderSince : Heard->second.At);
     if (Now - Last > EntryLease && !proposedLately("expire/" + Id, Now))
-      Due.emplace_back(
-          controlstate::expire_command{Id, Report.Incarnation});
+      Due.emplace_back(controlstate::expire_command{Id, Report.Incarnation});
   }
   return Due;
 }
@@ -92,8 +90,8 @@
 liveness_table::readyEntries(base::instant Now) const {
   std::vector<controlstate::member_report> Ready;
   for (const auto &[Id, Entry] : Entries) {
-    if (Entry.Connected && Entry.Notice.Ready && !Entry.Notice.Report.Stopping &&
-        Now - Entry.At <= EntrySilence)
+    if (Entry.Connected && Entry.Notice.Ready &&
+        !Entry.Notice.Report.Stopping && Now - Entry.At <= EntrySilence)
       Ready.push_back(Entry.Notice.Report);
   }
   return Ready;
--- a/modules/controlnode/internal/voterkeeper.cpp
+++ b/modules/controlnode/internal/voterkeeper.cpp
@@ -8,8 +8,8 @@
 
 bool voter_keeper::isSilent(const std::string &Id, base::instant Now) const {
   const auto Found = HeardAt.find(Id);
-  const base::instant Last =
-      std::max(LeaderSince, Found == HeardAt.end() ? LeaderSince : Found->second);
+  const base::instant Last = std::max(
+      LeaderSince, Found == HeardAt.end() ? LeaderSince : Found->second);
   return Now - Last > DeadVoterLimit;
 }
 
--- /dev/null
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -0,0 +1,142 @@
+// The decisions of a control instance: repeated calls, leases, voters.
+
+#include "fulmar/controlnode/callqueue.h"
+#include "fulmar/controlnode/livenesstable.h"
+#include "fulmar/controlnode/voterkeeper.h"
+#include "fulmar/testing/property.h"
+
+using namespace fulmar;
+using namespace fulmar::controlnode;
+using std::chrono::milliseconds;
+
+namespace {
+
+base::instant at(std::int64_t Ms) { return base::instant(milliseconds(Ms)); }
+
+} // namespace
+
+TEST_GROUP(CallQueue) {
+  call_queue Calls;
+  int Ended = 0;
+
+  std::uint64_t add(std::int64_t DeadlineMs) {
+    return Calls.add(fleetlink::leader_call::Propose, "c", at(DeadlineMs),
+                     [this](const call_result & /*Result*/) { ++Ended; });
+  }
+  void end(std::vector<finished_call> Finished) {
+    for (finished_call &Call : Finished)
+      Call.Handler(std::move(Call.Result));
+  }
+};
+
+TEST(CallQueue, aLostAnswerIsAskedForAgain) {
+  add(5'000);
+  CHECK_EQUAL(1U, Calls.takeDue(at(0)).size());
+  CHECK_EQUAL(0U, Calls.takeDue(at(100)).size());
+  CHECK_EQUAL(1U, Calls.takeDue(at(300)).size());
+}
+
+TEST(CallQueue, aNewLeaderIsAskedAtOnce) {
+  add(5'000);
+  Calls.takeDue(at(0));
+  Calls.retryAll(at(10));
+  CHECK_EQUAL(1U, Calls.takeDue(at(10)).size());
+}
+
+TEST(CallQueue, everyCallEndsExactlyOnce) {
+  const auto First = add(5'000);
+  add(100);
+  end(Calls.finish(First, std::string("done")));
+  end(Calls.finish(First, std::string("done")));
+  CHECK_EQUAL(1, Ended);
+  end(Calls.expire(at(100)));
+  end(Calls.expire(at(10'000)));
+  CHECK_EQUAL(2, Ended);
+  CHECK_EQUAL(0U, Calls.size());
+}
+
+TEST_GROUP(Liveness) {
+  controlstate::control_state State;
+  liveness_table Table;
+  consensus::log_index Next = 1;
+
+  void apply(controlstate::command_body Body) {
+    State.applyCommand(Next++, {.WallMs = 1, .Body = std::move(Body)});
+  }
+  static fleetlink::entry_notice notice(bool Ready) {
+    return {.Report = {.Id = "e", .Incarnation = "1", .Address = "a:1"},
+            .Ready = Ready};
+  }
+};
+
+TEST(Liveness, aNewLeaderWaitsAWholeLeaseBeforeItForgets) {
+  apply(controlstate::target_command{
+      {.Id = "t", .Address = "a:1", .StartedAtMs = 1, .Sequence = 1}});
+  Table.becomeLeader(at(100'000));
+  CHECK_TRUE(Table.dueCommands(State, at(119'000)).empty());
+  const auto Due = Table.dueCommands(State, at(120'500));
+  CHECK_EQUAL(1U, Due.size());
+  // Proposed once a second at most.
+  CHECK_TRUE(Table.dueCommands(State, at(120'600)).empty());
+}
+
+TEST(Liveness, aTargetThatReportsIsKept) {
+  apply(controlstate::target_command{
+      {.Id = "t", .Address = "a:1", .StartedAtMs = 1, .Sequence = 1}});
+  Table.becomeLeader(at(0));
+  Table.heardTarget("t", at(15'000));
+  CHECK_TRUE(Table.dueCommands(State, at(30'000)).empty());
+}
+
+TEST(Liveness, onlyReadyEntriesThatAreHeardAreNamed) {
+  Table.heardEntry(notice(false), at(0));
+  CHECK_TRUE(Table.readyEntries(at(0)).empty());
+  Table.heardEntry(notice(true), at(0));
+  CHECK_EQUAL(1U, Table.readyEntries(at(1'000)).size());
+  CHECK_TRUE(Table.readyEntries(at(1'400)).empty());
+  Table.heardAgain("e", at(1'500));
+  CHECK_EQUAL(1U, Table.readyEntries(at(1'500)).size());
+  Table.lostEntry("e");
+  CHECK_TRUE(Table.readyEntries(at(1'500)).empty());
+}
+
+TEST(Liveness, anEntryJoinsOnceAndExpiresWhenSilent) {
+  Table.becomeLeader(at(0));
+  Table.heardEntry(notice(true), at(0));
+  CHECK_EQUAL(1U, Table.dueCommands(State, at(10)).size());
+  apply(controlstate::member_command{notice(true).Report});
+  CHECK_TRUE(Table.dueCommands(State, at(2'000)).empty());
+  CHECK_EQUAL(1U, Table.dueCommands(State, at(10'500)).size());
+}
+
+TEST_GROUP(Voters) {
+  voter_keeper Keeper;
+  consensus::configuration Members{
+      .Voters = {{"a", "1"}, {"b", "1"}, {"c", "1"}}, .Formed = true};
+
+  void setup() override { Keeper.becomeLeader(at(0)); }
+};
+
+TEST(Voters, aNewcomerIsAddedUpToFive) {
+  auto Change = Keeper.onJoinRequest("d", Members, "a", at(1'000));
+  CHECK_TRUE(Change == (voter_change{voter_change::kind::Add, "d"}));
+  Members.Voters.push_back({"d", "1"});
+  Members.Voters.push_back({"e", "1"});
+  Change = Keeper.onJoinRequest("f", Members, "a", at(1'000));
+  CHECK_FALSE(Change.has_value());
+}
+
+TEST(Voters, aNewcomerReplacesAVoterThatIsGone) {
+  Keeper.heard("b", at(9'000));
+  const auto Change = Keeper.onJoinRequest("d", Members, "a", at(9'000));
+  CHECK_TRUE(Change == (voter_change{voter_change::kind::Remove, "c"}));
+}
+
+TEST(Voters, noVoterIsGivenUpWithoutANewcomer) {
+  CHECK_FALSE(Keeper.onJoinRequest("b", Members, "a", at(60'000)).has_value());
+}
+
+TEST(Voters, nothingChangesBeforeTheClusterIsFormed) {
+  Members.Formed = false;
+  CHECK_FALSE(Keeper.onJoinRequest("d", Members, "a", at(1'000)).has_value());
+}
--- a/modules/controlstate/include/fulmar/controlstate/replies.h
+++ b/modules/controlstate/include/fulmar/controlstate/replies.h
@@ -95,10 +95,9 @@
   friend auto operator<=>(const failed_reply &, const failed_reply &) = default;
 };
 
-using reply =
-    std::variant<done_reply, edit_reply, data_centre_reply, member_reply,
-                 claim_reply, crash_reply, failed_reply, plan_reply,
-                 target_reply>;
+using reply = std::variant<done_reply, edit_reply, data_centre_reply,
+                           member_reply, claim_reply, crash_reply, failed_reply,
+                           plan_reply, target_reply>;
 
 std::string encodeReply(const reply &Reply);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/controlstate/internal/commands.cpp
+++ b/modules/controlstate/internal/commands.cpp
@@ -2,8 +2,8 @@
 
 #include "fulmar/controlstate/commands.h"
 
-#include "fulmar/controlstate/commandpacking.h"
 #include "fulmar/claims/variantpacking.h"
+#include "fulmar/controlstate/commandpacking.h"
 
 namespace fulmar::controlstate {
 
--- a/modules/controlstate/internal/replies.cpp
+++ b/modules/controlstate/internal/replies.cpp
@@ -2,8 +2,8 @@
 
 #include "fulmar/controlstate/replies.h"
 
-#include "replypacking.h"
 #include "fulmar/claims/variantpacking.h"
+#include "replypacking.h"
 
 namespace fulmar::controlstate {
 
--- a/modules/controlstate/internal/snapshot.cpp
+++ b/modules/controlstate/internal/snapshot.cpp
@@ -57,8 +57,7 @@
                   Item.Published);
 }
 
-base::result<publication::changes>
-publishedFrom(const std::string &Text) {
+base::result<publication::changes> publishedFrom(const std::string &Text) {
   Json::Value Json;
   std::string Faults;
   const Json::CharReaderBuilder Builder;
@@ -93,17 +92,16 @@
 } // namespace
 
 std::string control_state::snapshot() const {
-  return claims::packValue(
-      snapshot_form{.Index = Index,
-                    .NowMs = NowMs,
-                    .Edits = Edits.encode(),
-                    .DataCentres = DataCentres.encode(),
-                    .Members = Members.encode(),
-                    .Claims = Claims.encode(),
-                    .Crashes = Crashes.encode(),
-                    .Published = Published.changesSince(0),
-                    .Plan = Plan.encode(),
-                    .Targets = Targets.encode()});
+  return claims::packValue(snapshot_form{.Index = Index,
+                                         .NowMs = NowMs,
+                                         .Edits = Edits.encode(),
+                                         .DataCentres = DataCentres.encode(),
+                                         .Members = Members.encode(),
+                                         .Claims = Claims.encode(),
+                                         .Crashes = Crashes.encode(),
+                                         .Published = Published.changesSince(0),
+                                         .Plan = Plan.encode(),
+                                         .Targets = Targets.encode()});
 }
 
 base::result<void> control_state::restore(std::string_view Snapshot) {
--- /dev/null
+++ b/modules/controlstate/tests/targets_tests.cpp
@@ -0,0 +1,130 @@
+// Targets, the routing plan and data centres without sections: late, repeated
+// and crossing commands, and what a snapshot keeps.
+
+#include "fulmar/controlstate/controlstate.h"
+#include "fulmar/fleet/routingplan.h"
+#include "fulmar/testing/property.h"
+
+using namespace fulmar;
+using namespace fulmar::controlstate;
+using fleet::target_phase;
+using fleet::target_report;
+
+namespace {
+
+target_report reportOf(const std::string &Id, std::int64_t StartedAtMs,
+                       std::uint64_t Sequence) {
+  return {.Id = Id,
+          .Service = "s",
+          .DataCentre = "pos",
+          .Address = "10.0.0.1:80",
+          .Slots = 2,
+          .StartedAtMs = StartedAtMs,
+          .Sequence = Sequence};
+}
+
+} // namespace
+
+TEST_GROUP(Targets) {
+  control_state State;
+  consensus::log_index Next = 1;
+
+  reply apply(command_body Body) {
+    return State.applyCommand(Next++, {.WallMs = 1, .Body = std::move(Body)});
+  }
+  bool changes(const target_report &Report) {
+    return std::get<target_reply>(apply(target_command{Report})).Changed;
+  }
+  bool published(const std::string &Id) {
+    return State.published().value(publication::TargetPrefix + Id).has_value();
+  }
+};
+
+TEST(Targets, aLateReportBringsNothingBack) {
+  CHECK_TRUE(changes(reportOf("t", 100, 1)));
+  target_report Drains = reportOf("t", 100, 5);
+  Drains.Phase = target_phase::Draining;
+  CHECK_TRUE(changes(Drains));
+  CHECK_FALSE(changes(reportOf("t", 100, 4)));
+  CHECK_TRUE(State.targets().find("t")->Phase == target_phase::Draining);
+}
+
+TEST(Targets, aTargetThatLeftReturnsOnlyAsAnotherRun) {
+  changes(reportOf("t", 100, 1));
+  apply(target_left_command{.Id = "t"});
+  CHECK_FALSE(published("t"));
+  CHECK_FALSE(changes(reportOf("t", 100, 9)));
+  CHECK_FALSE(published("t"));
+  CHECK_TRUE(changes(reportOf("t", 200, 1)));
+  CHECK_TRUE(published("t"));
+}
+
+TEST(Targets, aLateDepartureDoesNotEndALaterRun) {
+  changes(reportOf("t", 200, 1));
+  apply(target_left_command{.Id = "t", .StartedAtMs = 100});
+  CHECK_TRUE(published("t"));
+}
+
+TEST(Targets, theLatestRunHoldsAnAddress) {
+  changes(reportOf("old", 100, 1));
+  CHECK_TRUE(changes(reportOf("new", 200, 1)));
+  CHECK_FALSE(published("old"));
+  CHECK_TRUE(published("new"));
+  // Sent before the crash, arrived after the address was taken over.
+  CHECK_FALSE(changes(reportOf("old", 100, 2)));
+  CHECK_TRUE(published("new"));
+}
+
+TEST(Targets, anExpiredTargetReturnsWithItsNextReport) {
+  changes(reportOf("t", 100, 3));
+  apply(target_expired_command{.Id = "t", .StartedAtMs = 100, .Sequence = 2});
+  CHECK_TRUE(published("t"));
+  apply(target_expired_command{.Id = "t", .StartedAtMs = 100, .Sequence = 3});
+  CHECK_FALSE(published("t"));
+  CHECK_TRUE(changes(reportOf("t", 100, 4)));
+  CHECK_TRUE(published("t"));
+}
+
+TEST(Targets, aNameThatCouldForgeAKeyIsRefused) {
+  const reply Reply = apply(target_command{reportOf("a/b", 1, 1)});
+  CHECK_TRUE(std::holds_alternative<failed_reply>(Reply));
+}
+
+TEST(Targets, onlyAHigherPlanTakesForce) {
+  const auto Put = [this](std::uint64_t Version, const std::string &Document) {
+    return std::get<plan_reply>(apply(plan_command{
+        .Version = Version, .Plan = "plan", .Document = Document}));
+  };
+  CHECK_TRUE(Put(5, "five").Changed);
+  CHECK_FALSE(Put(4, "four").Changed);
+  // The same version with other content is not obeyed.
+  CHECK_FALSE(Put(5, "other").Changed);
+  STRCMP_EQUAL("five", State.plan().held().Document.c_str());
+  CHECK_TRUE(Put(9, "nine").Changed);
+  STRCMP_EQUAL("nine", State.plan().held().Document.c_str());
+}
+
+TEST(Targets, administratorsTakeDataCentresOutWithoutASection) {
+  data_centre_command Leave{.Operation = "1",
+                            .Name = "pos",
+                            .Author = "operator",
+                            .Proof = {.Administrator = true}};
+  CHECK_TRUE(std::holds_alternative<data_centre_reply>(apply(Leave)));
+  CHECK_FALSE(State.dataCentres().stateOf("pos").In);
+  Leave.Operation = "2";
+  Leave.Proof.Administrator = false;
+  CHECK_TRUE(std::holds_alternative<failed_reply>(apply(Leave)));
+}
+
+TEST(Targets, aSnapshotKeepsPlanAndTargets) {
+  changes(reportOf("t", 100, 3));
+  changes(reportOf("gone", 90, 3));
+  apply(target_left_command{.Id = "gone"});
+  apply(plan_command{.Version = 7, .Plan = "plan", .Document = "seven"});
+  control_state Restored;
+  CHECK_TRUE(Restored.restore(State.snapshot()).has_value());
+  CHECK_TRUE(Restored.targets().all() == State.targets().all());
+  CHECK_EQUAL(7U, Restored.plan().version());
+  CHECK_EQUAL(State.published().digest(), Restored.published().digest());
+  STRCMP_EQUAL(State.snapshot().c_str(), Restored.snapshot().c_str());
+}
--- a/modules/eventloop/include/fulmar/eventloop/framelink.h
+++ b/modules/eventloop/include/fulmar/eventloop/framelink.h
@@ -62,13 +62,17 @@
   using accept_handler = std::function<void(std::shared_ptr<frame_link>)>;
 
   explicit frame_server(loop &OwningLoop) : Loop(OwningLoop) {}
+  ~frame_server();
+  frame_server(const frame_server &) = delete;
+  frame_server &operator=(const frame_server &) = delete;
+
   base::result<void> start(const std::string &Address, accept_handler Accepted);
 
 private:
   void accept();
 
   loop &Loop;
-  std::unique_ptr<tcp::acceptor> Acceptor;
+  std::shared_ptr<tcp::acceptor> Acceptor;
   accept_handler OnAccept;
 };
 
--- a/modules/eventloop/internal/framedialer.cpp
+++ b/modules/eventloop/internal/framedialer.cpp
@@ -40,8 +40,8 @@
   Connecting = std::make_shared<tcp::socket>(Loop.context());
   Retry.after(ConnectLimit, [this] { drop(); });
   Connecting->async_connect(
-      Endpoint.value(), [this, Mine = std::weak_ptr(Connecting)](
-                            error_code Failed) {
+      Endpoint.value(),
+      [this, Mine = std::weak_ptr(Connecting)](error_code Failed) {
         const auto Socket = Mine.lock();
         // This dialer may be gone, or may have given the attempt up.
         if (!Socket || Failed == asio::error::operation_aborted)
--- a/modules/eventloop/internal/framelink.cpp
+++ b/modules/eventloop/internal/framelink.cpp
@@ -112,18 +112,26 @@
   Socket.close(Ignored);
 }
 
+frame_server::~frame_server() {
+  error_code Ignored;
+  if (Acceptor)
+    Acceptor->close(Ignored);
+}
+
 base::result<void> frame_server::start(const std::string &Address,
                                        accept_handler Accepted) {
   BOOST_OUTCOME_TRY(Listening, listenOn(Loop, Address));
-  Acceptor = std::make_unique<tcp::acceptor>(std::move(Listening));
+  Acceptor = std::make_shared<tcp::acceptor>(std::move(Listening));
   OnAccept = std::move(Accepted);
   accept();
   return base::success();
 }
 
 void frame_server::accept() {
-  Acceptor->async_accept([this](error_code Failed, tcp::socket Socket) {
-    if (Failed == asio::error::operation_aborted)
+  Acceptor->async_accept([this, Mine = std::weak_ptr(Acceptor)](
+                             error_code Failed, tcp::socket Socket) {
+    // The server may be gone, also where a connection came just before.
+    if (Failed == asio::error::operation_aborted || Mine.expired())
       return;
     if (!Failed)
       OnAccept(std::make_shared<frame_link>(Loop, std::move(Socket)));
--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -36,12 +36,12 @@
     Parser->header_limit(static_cast<std::uint32_t>(Options.MaxHeaderBytes));
     Parser->body_limit(Options.MaxBodyBytes);
     Idle.after(Options.IdleLimit, [this] { close(); });
-    http::async_read(Socket, Buffer, *Parser,
-                     [Self = shared_from_this()](error_code Failed,
-                                                 std::size_t /*Count*/) {
-                       Self->Idle.cancel();
-                       Self->onRead(Failed);
-                     });
+    http::async_read(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Failed, std::size_t /*Count*/) {
+          Self->Idle.cancel();
+          Self->onRead(Failed);
+        });
   }
 
 private:
@@ -77,11 +77,11 @@
     Message.keep_alive(Keep);
     Message.body() = std::move(Answer.Body);
     Message.prepare_payload();
-    Outgoing = std::make_unique<http::response<http::string_body>>(
-        std::move(Message));
+    Outgoing =
+        std::make_unique<http::response<http::string_body>>(std::move(Message));
     http::async_write(Socket, *Outgoing,
-                      [Self = shared_from_this(),
-                       Keep](error_code Failed, std::size_t /*Count*/) {
+                      [Self = shared_from_this(), Keep](error_code Failed,
+                                                        std::size_t /*Count*/) {
                         if (Failed || !Keep)
                           return Self->close();
                         Self->read();
--- a/modules/eventloop/internal/loop.cpp
+++ b/modules/eventloop/internal/loop.cpp
@@ -65,11 +65,9 @@
   std::uint16_t Port = 0;
   if (Colon != std::string::npos) {
     const char *Last = Address.data() + Address.size();
-    const auto Read =
-        std::from_chars(Address.data() + Colon + 1, Last, Port);
+    const auto Read = std::from_chars(Address.data() + Colon + 1, Last, Port);
     error_code Failed;
-    const auto Ip =
-        asio::ip::make_address_v4(Address.substr(0, Colon), Failed);
+    const auto Ip = asio::ip::make_address_v4(Address.substr(0, Colon), Failed);
     if (!Failed && Read.ec == std::errc() && Read.ptr == Last && Port != 0)
       return tcp::endpoint(Ip, Port);
   }
--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -29,8 +29,7 @@
   while (!Held.empty()) {
     const channel_ptr Channel = Held.back();
     Held.pop_back();
-    const bool Fresh =
-        Loop.now() - Channel->idleSince() < Channel->idleLimit();
+    const bool Fresh = Loop.now() - Channel->idleSince() < Channel->idleLimit();
     if (Channel->reusable() && Fresh)
       return Channel;
     Channel->close();
@@ -53,12 +52,10 @@
   std::vector<channel_ptr> Stale;
   for (auto &[Key, Held] : Idle) {
     const auto IsStale = [Now](const channel_ptr &Channel) {
-      return Now - Channel->idleSince() + RefreshMargin >=
-             Channel->idleLimit();
+      return Now - Channel->idleSince() + RefreshMargin >= Channel->idleLimit();
     };
-    std::erase_if(Held, [](const channel_ptr &Channel) {
-      return !Channel->reusable();
-    });
+    std::erase_if(
+        Held, [](const channel_ptr &Channel) { return !Channel->reusable(); });
     const bool AllStale = std::all_of(Held.begin(), Held.end(), IsStale);
     if (AllStale && !Held.empty()) {
       Stale.push_back(Held.back());
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -62,9 +62,8 @@
   constexpr double Percent = 100;
   const placement::load_report &Load = Offer.Load;
   return std::to_string(Load.Running) + "+" + std::to_string(Load.Waiting) +
-         "+" + std::to_string(Offer.Hidden) + "/" +
-         std::to_string(Load.Slots) + "x" +
-         std::to_string(static_cast<int>(Load.Slowdown * Percent));
+         "+" + std::to_string(Offer.Hidden) + "/" + std::to_string(Load.Slots) +
+         "x" + std::to_string(static_cast<int>(Load.Slowdown * Percent));
 }
 
 /// What is left of the time that a caller told, when it arrives here.
@@ -90,8 +89,7 @@
 }
 
 void exchange::begin() {
-  const bool MayWait =
-      State.Loop.now() - Request.ArrivedAt < PlanWait;
+  const bool MayWait = State.Loop.now() - Request.ArrivedAt < PlanWait;
   if (!State.Routes.plan() && MayWait)
     return RoundTimer.after(PlanPoll,
                             [Self = shared_from_this()] { Self->begin(); });
@@ -111,8 +109,7 @@
     fail({base::error_kind::StaleKnowledge, "no routing plan yet"});
     return false;
   }
-  const std::string Path =
-      Request.Target.substr(0, Request.Target.find('?'));
+  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   Route = State.Routes.find(headerOf(Request.Fields, "Host"), Path);
   if (Route == nullptr) {
     fail({base::error_kind::UnknownService, "no route"});
@@ -153,8 +150,8 @@
                                    .Count = Polling      ? 1
                                             : Round == 0 ? FirstLooks
                                                          : FurtherLooks,
-                                   .Anywhere = Polling ||
-                                               Round >= AnywhereRound,
+                                   .Anywhere =
+                                       Polling || Round >= AnywhereRound,
                                    .FillAbroad = !isLarge(),
                                    .Hint = std::exchange(Hint, {})};
   Query.Excluded.insert(SentTo.begin(), SentTo.end());
@@ -170,13 +167,12 @@
 }
 
 void exchange::lookAt(const std::vector<std::string> &Ids) {
-  RoundTimer.after(LookWait,
-                   [Self = shared_from_this()] { Self->decide(); });
+  RoundTimer.after(LookWait, [Self = shared_from_this()] { Self->decide(); });
   std::vector<std::shared_ptr<look>> Started;
   for (const std::string &Id : Ids) {
     Seen.insert(Id);
-    Started.push_back(std::make_shared<look>(State, Service,
-                                             *Service->Placement.find(Id)));
+    Started.push_back(
+        std::make_shared<look>(State, Service, *Service->Placement.find(Id)));
     Looks.push_back(Started.back());
   }
   for (const auto &Look : Started)
@@ -204,8 +200,9 @@
 void exchange::onLook() {
   if (!Choosing)
     return;
-  const bool AllDone = std::all_of(Looks.begin(), Looks.end(),
-                                   [](const auto &Look) { return Look->done(); });
+  const bool AllDone =
+      std::all_of(Looks.begin(), Looks.end(),
+                  [](const auto &Look) { return Look->done(); });
   const look *Best = best();
   const bool GoodEnough =
       Best != nullptr && placement::isGood(Best->load(), Best->hidden());
@@ -220,8 +217,7 @@
   for (const auto &Look : Looks) {
     if (!Look->good() || Now - Look->answeredAt() > LookLifetime)
       continue;
-    const double Time =
-        placement::expectedTime(Look->load(), Look->hidden());
+    const double Time = placement::expectedTime(Look->load(), Look->hidden());
     if (Best == nullptr || Time < BestTime) {
       Best = Look.get();
       BestTime = Time;
@@ -230,9 +226,7 @@
   return Best;
 }
 
-bool exchange::isLarge() const {
-  return Request.Body->size() > MaxBodyAbroad;
-}
+bool exchange::isLarge() const { return Request.Body->size() > MaxBodyAbroad; }
 
 /// A large body is worth a look abroad only where there is no room near.
 std::size_t exchange::maxRounds(bool Short) const {
@@ -279,8 +273,8 @@
 placement::admission_request exchange::admissionRequest() const {
   const base::instant Now = State.Loop.now();
   return {.UsualTime = Times->Usual.estimate(),
-          .ToObjective = FirstSentAt +
-                         std::chrono::milliseconds(Route->ObjectiveMs) - Now,
+          .ToObjective =
+              FirstSentAt + std::chrono::milliseconds(Route->ObjectiveMs) - Now,
           .ToEnd = End - Now};
 }
 
@@ -302,8 +296,8 @@
 
 waiter_key exchange::waiterKey() const {
   return {.Priority = Route->Priority,
-          .Objective = FirstSentAt +
-                       std::chrono::milliseconds(Route->ObjectiveMs),
+          .Objective =
+              FirstSentAt + std::chrono::milliseconds(Route->ObjectiveMs),
           .Request = this};
 }
 
@@ -379,21 +373,21 @@
   }
   SentTo.insert(Target);
   Service->Placement.sent(Target);
-  Attempts.push_back({.Target = Target,
-                      .Channel = Channel,
-                      .SentAt = State.Loop.now(),
-                      .ExpectedFactor =
-                          placement::expectedTime(Offer.Load, Offer.Hidden),
-                      .Seen = describe(Offer)});
+  Attempts.push_back(
+      {.Target = Target,
+       .Channel = Channel,
+       .SentAt = State.Loop.now(),
+       .ExpectedFactor = placement::expectedTime(Offer.Load, Offer.Hidden),
+       .Seen = describe(Offer)});
   const std::size_t Index = Attempts.size() - 1;
-  Channel->call({.Head = headFor(Target),
-                 .Body = Request.Body,
-                 .RequestId = RequestId,
-                 .HeadOnly = Request.Method == "HEAD"},
-                [Self = shared_from_this(),
-                 Index](base::result<target_answer> Result) {
-                  Self->onAnswer(Index, std::move(Result));
-                });
+  Channel->call(
+      {.Head = headFor(Target),
+       .Body = Request.Body,
+       .RequestId = RequestId,
+       .HeadOnly = Request.Method == "HEAD"},
+      [Self = shared_from_this(), Index](base::result<target_answer> Result) {
+        Self->onAnswer(Index, std::move(Result));
+      });
   armHedge();
 }
 
@@ -426,9 +420,9 @@
 void exchange::endAttempt(std::size_t Index, attempt_quality Quality) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
-  Attempt.Outcome = std::string(nameOf(Quality)) + "@" +
-                    std::to_string(millisecondsOf(State.Loop.now() -
-                                                  Request.ArrivedAt));
+  Attempt.Outcome =
+      std::string(nameOf(Quality)) + "@" +
+      std::to_string(millisecondsOf(State.Loop.now() - Request.ArrivedAt));
   const base::instant Now = State.Loop.now();
   Service->Placement.ended(Attempt.Target, Quality, Now - Attempt.SentAt, Now);
   if (Attempt.Channel)
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -70,8 +70,8 @@
     return deliver(std::move(*OwnFailure));
   base::error Failure = LastFailure;
   if (!MayHaveRun)
-    Failure.Kind = Attempts.empty() ? LastFailure.Kind
-                                  : base::error_kind::Saturated;
+    Failure.Kind =
+        Attempts.empty() ? LastFailure.Kind : base::error_kind::Saturated;
   else if (Failure.Kind != base::error_kind::TargetTimeout)
     Failure.Kind = base::error_kind::OutcomeUnknown;
   fail(Failure);
@@ -156,19 +156,17 @@
        {"cause", std::string(Reason)},
        {"sends", sendsText()},
        {"usual_ms",
+        std::to_string(
+            Times == nullptr ? 0 : millisecondsOf(Times->Usual.estimate()))},
+       {"age_ms",
         std::to_string(Times == nullptr
                            ? 0
-                           : millisecondsOf(Times->Usual.estimate()))},
-       {"age_ms", std::to_string(Times == nullptr
-                                     ? 0
-                                     : millisecondsOf(Request.ArrivedAt -
-                                                      FirstSentAt))},
-       {"had_ms", std::to_string(Times == nullptr
-                                     ? 0
-                                     : millisecondsOf(End -
-                                                      Request.ArrivedAt))},
-       {"took_ms", std::to_string(millisecondsOf(State.Loop.now() -
-                                                 Request.ArrivedAt))}});
+                           : millisecondsOf(Request.ArrivedAt - FirstSentAt))},
+       {"had_ms",
+        std::to_string(
+            Times == nullptr ? 0 : millisecondsOf(End - Request.ArrivedAt))},
+       {"took_ms",
+        std::to_string(millisecondsOf(State.Loop.now() - Request.ArrivedAt))}});
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -64,10 +64,8 @@
                                      {{"control", Address}});
                 announce();
               },
-          .Frame =
-              [this, Address](std::string_view Frame) {
-                onFrame(Address, Frame);
-              },
+          .Frame = [this, Address](
+                       std::string_view Frame) { onFrame(Address, Frame); },
           .Lost =
               [this, Address] {
                 telemetry::logChange(telemetry::log_level::Warning, "feed",
@@ -84,8 +82,7 @@
                          {{"error", Message.error().Message}});
     return;
   }
-  if (const auto *Notice =
-          std::get_if<fleetlink::log_notice>(&Message.value()))
+  if (const auto *Notice = std::get_if<fleetlink::log_notice>(&Message.value()))
     take(From, *Notice);
   else if (const auto *Members =
                std::get_if<fleetlink::control_notice>(&Message.value()))
@@ -125,8 +122,8 @@
     return;
   Fetching = true;
   FetchedAt = Loop.now();
-  Best->Dialer->send(fleetlink::encodeLink(
-      fleetlink::fetch_request{WantsAll ? 0 : Known}));
+  Best->Dialer->send(
+      fleetlink::encodeLink(fleetlink::fetch_request{WantsAll ? 0 : Known}));
 }
 
 void fleet_feed::take(const fleetlink::fetch_reply &Reply) {
@@ -136,7 +133,8 @@
   WantsAll = !Merged;
   if (!Merged)
     telemetry::logChange(telemetry::log_level::Warning, "feed",
-                         "changes-refused", {{"error", Merged.error().Message}});
+                         "changes-refused",
+                         {{"error", Merged.error().Message}});
   if (Items.latest() != Before)
     decode();
   fetchIfBehind(false);
--- a/modules/gateway/internal/frontsession.cpp
+++ b/modules/gateway/internal/frontsession.cpp
@@ -96,15 +96,14 @@
       return refuse(503, "out-of-memory");
     if (Parser->is_done())
       return onRequest();
-    const bool Expects =
-        HeadDone && !headerOf(Parser->get(), "Expect").empty();
+    const bool Expects = HeadDone && !headerOf(Parser->get(), "Expect").empty();
     if (Expects && !std::exchange(ContinueSent, true)) {
       // Small enough for the socket's buffer.
       error_code Ignored;
-      asio::write(Socket,
-                  asio::buffer(std::string_view(
-                      "HTTP/1.1 100 Continue\r\n\r\n")),
-                  Ignored);
+      asio::write(
+          Socket,
+          asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")),
+          Ignored);
     }
     if (Taken == 0)
       return;
@@ -149,13 +148,12 @@
   holdBytes(0);
   const bool Keep = KeepAlive && !State.Stopping;
   std::string Head = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
-  Head += Answer.Reason.empty()
-              ? std::string(http::obsolete_reason(
-                    static_cast<http::status>(Answer.Status)))
-              : Answer.Reason;
+  Head += Answer.Reason.empty() ? std::string(http::obsolete_reason(
+                                      static_cast<http::status>(Answer.Status)))
+                                : Answer.Reason;
   Head += "\r\n" + Answer.Headers;
-  const bool Bodiless = Answer.Status == NoContent ||
-                        Answer.Status == NotModified;
+  const bool Bodiless =
+      Answer.Status == NoContent || Answer.Status == NotModified;
   if (HeadOnly && !Answer.ContentLength.empty())
     appendHeader(Head, "Content-Length", Answer.ContentLength);
   else if (!Bodiless)
@@ -227,9 +225,9 @@
   }
   if (idle()) {
     const base::duration Limit =
-        State.Stopping ? StopIdle
-                       : base::duration(std::chrono::milliseconds(
-                             Limits.IdleTimeoutMs));
+        State.Stopping
+            ? StopIdle
+            : base::duration(std::chrono::milliseconds(Limits.IdleTimeoutMs));
     if (Waited > Limit)
       close();
     return;
@@ -248,10 +246,7 @@
     Running->cancel();
   error_code Ignored;
   Socket.close(Ignored);
-  // May be the last reference but the caller's.
-  State.Loop.post([Self = shared_from_this()] {
-    Self->State.Sessions.erase(Self);
-  });
+  State.Sessions.erase(shared_from_this());
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -30,8 +30,7 @@
 }
 
 void accept(gateway_state &State) {
-  State.Acceptor->async_accept([&State](error_code Failed,
-                                        tcp::socket Socket) {
+  State.Acceptor->async_accept([&State](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
       return;
     if (!Failed) {
@@ -50,11 +49,9 @@
   for (const auto &[Name, Service] : State.Services) {
     const fleet::target_report *Target =
         Service->Placement.find(Channel->targetId());
-    if (Target == nullptr ||
-        Target->DataCentre != State.Options.DataCentre)
+    if (Target == nullptr || Target->DataCentre != State.Options.DataCentre)
       continue;
-    std::string Head =
-        "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
+    std::string Head = "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
     appendHeader(Head, "Host", Target->Address);
     Head += "\r\n";
     return Channel->call({.Head = std::move(Head)},
@@ -68,8 +65,9 @@
 void sweep(gateway_state &State) {
   for (const channel_ptr &Channel : State.Pool.sweep())
     refresh(State, Channel);
-  // Closing a session takes it out of the set later.
-  for (const auto &Session : State.Sessions)
+  // Closing a session takes it out of the set.
+  const auto Sessions = State.Sessions;
+  for (const auto &Session : Sessions)
     Session->sweep();
 }
 
@@ -98,8 +96,8 @@
   std::map<std::string, share_sequence> Shares;
   for (const fleet::route &Route : Plan->Routes) {
     if (Route.Shares.size() > 1)
-      Shares.emplace(Route.Name, share_sequence(absl::Uniform(
-                                     State.Random, 0.0, 1.0)));
+      Shares.emplace(Route.Name,
+                     share_sequence(absl::Uniform(State.Random, 0.0, 1.0)));
   }
   State.Shares = std::move(Shares);
   telemetry::logChange(telemetry::log_level::Info, "gateway", "plan-in-force",
@@ -171,7 +169,11 @@
     : State(std::make_unique<gateway_state>(OwningLoop, std::move(Chosen),
                                             Registry)) {}
 
-gateway::~gateway() = default;
+gateway::~gateway() {
+  const auto Sessions = State->Sessions;
+  for (const auto &Session : Sessions)
+    Session->close();
+}
 
 base::result<void> gateway::start() {
   BOOST_OUTCOME_TRY(Listening,
@@ -212,8 +214,8 @@
     error_code Ignored;
     if (!Accepting && State->Acceptor->is_open())
       State->Acceptor->close(Ignored);
-    const bool Quiet = !Accepting && State->Running == 0 &&
-                       State->Sessions.empty();
+    const bool Quiet =
+        !Accepting && State->Running == 0 && State->Sessions.empty();
     if (!Quiet && Elapsed < partOf(Grace, EndShare))
       return;
     State->StopTimer.cancel();
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -56,11 +56,11 @@
   Head += "\r\n";
   Silence.after(SilenceLimit,
                 [Self = shared_from_this()] { Self->onSilence(); });
-  Channel->call({.Head = std::move(Head)},
-                [Self = shared_from_this()](
-                    const base::result<target_answer> &Answer) {
-                  Self->onAnswer(Answer);
-                });
+  Channel->call(
+      {.Head = std::move(Head)},
+      [Self = shared_from_this()](const base::result<target_answer> &Answer) {
+        Self->onAnswer(Answer);
+      });
 }
 
 void look::onAnswer(const base::result<target_answer> &Answer) {
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -61,8 +61,8 @@
         if (!Self->Done)
           return;
         if (Failed)
-          return Self->finish(base::fail(base::error_kind::Unreachable,
-                                         Failed.message()));
+          return Self->finish(
+              base::fail(base::error_kind::Unreachable, Failed.message()));
         Self->Connected = true;
         eventloop::tuneSocket(Self->Socket);
         Self->read();
@@ -75,8 +75,7 @@
   const auto Head = std::make_shared<std::string>(std::move(Call.Head));
   const shared_body Body = Call.Body;
   std::array<asio::const_buffer, 2> Buffers = {
-      asio::buffer(*Head),
-      Body ? asio::buffer(*Body) : asio::const_buffer()};
+      asio::buffer(*Head), Body ? asio::buffer(*Body) : asio::const_buffer()};
   asio::async_write(Socket, Buffers,
                     [Self = shared_from_this(), Head,
                      Body](error_code Failed, std::size_t /*Count*/) {
@@ -161,8 +160,7 @@
   Digits = Digits.substr(0, Digits.find_first_not_of("0123456789"));
   if (const auto Seconds = parseWhole(Digits))
     IdleLimit = std::min<base::duration>(
-        DefaultIdleLimit,
-        std::chrono::seconds(*Seconds) - IdleMargin);
+        DefaultIdleLimit, std::chrono::seconds(*Seconds) - IdleMargin);
 }
 
 void target_channel::onEnd(error_code Failed) {
--- /dev/null
+++ b/modules/gateway/tests/gateway_tests.cpp
@@ -0,0 +1,393 @@
+// The gateway between a caller's socket and scripted targets: every caller gets
+// its own whole answer, and what may have run is never said not to have.
+
+#include "fulmar/gateway/gateway.h"
+#include "fulmar/testing/property.h"
+#include "tests/scriptedtarget.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *FrontAddress = "127.0.0.1:18560";
+
+dialect testDialect() {
+  return {.RequestId = "T-Request",
+          .Deadline = "T-Deadline",
+          .Signature = "T-Signature",
+          .ExpectedTarget = "T-Expect",
+          .Load = "T-Load",
+          .NotRun = "T-Not-Run",
+          .TargetId = "T-Id",
+          .ColdLeft = "T-Cold"};
+}
+
+/// A caller's connection.
+class test_caller {
+public:
+  explicit test_caller(eventloop::loop &OwningLoop)
+      : Loop(OwningLoop), Socket(Loop.context()) {
+    Socket.connect(eventloop::parseEndpoint(FrontAddress).value());
+    read();
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(Socket, asio::buffer(Bytes));
+  }
+  void close() {
+    error_code Ignored;
+    Socket.close(Ignored);
+  }
+
+  std::string Received;
+  bool Ended = false;
+
+private:
+  void read() {
+    Socket.async_read_some(asio::buffer(Chunk),
+                           [this](error_code Failed, std::size_t Count) {
+                             if (Failed) {
+                               Ended = true;
+                               return;
+                             }
+                             Received.append(Chunk.data(), Count);
+                             read();
+                           });
+  }
+
+  eventloop::loop &Loop;
+  tcp::socket Socket;
+  std::array<char, 4'096> Chunk{};
+};
+
+std::string request(const std::string &Method, const std::string &Path,
+                    const std::string &Body = "",
+                    const std::string &Headers = "T-Deadline: 2000\r\n") {
+  return Method + " " + Path + " HTTP/1.1\r\nHost: a.example\r\n" +
+         "T-Request: id1\r\n" + Headers +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+constexpr const char *Refusal =
+    "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+TEST_GROUP(Gateway) {
+  eventloop::loop Loop;
+  telemetry::metrics Metrics;
+  gateway::gateway Gateway{Loop,
+                           {.Listen = FrontAddress,
+                            .Dialect = testDialect(),
+                            .InstanceId = "e",
+                            .DataCentre = "pos",
+                            .Grace = milliseconds(1'500)},
+                           Metrics};
+  std::vector<std::unique_ptr<scripted_target>> Targets;
+  fleet::routing_plan Plan{
+      .Version = 1,
+      .Routes = {{.Name = "read",
+                  .Host = "a.example",
+                  .PathPrefix = "/read/",
+                  .Repeatability = fleet::repeatability::Idempotent,
+                  .Shares = {{.Service = "s"}},
+                  .TimeoutMs = 1'000,
+                  .ObjectiveMs = 400,
+                  .Attempts = 2},
+                 {.Name = "write",
+                  .Host = "a.example",
+                  .PathPrefix = "/write/",
+                  .Shares = {{.Service = "s"}},
+                  .TimeoutMs = 1'000,
+                  .ObjectiveMs = 400,
+                  .Attempts = 2}},
+      .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
+
+  void setup() override { CHECK_TRUE(Gateway.start().has_value()); }
+
+  void addTarget(scripted_target::script Script) {
+    const std::string Number = std::to_string(Targets.size());
+    Targets.push_back(std::make_unique<scripted_target>(
+        Loop, "t" + Number, "127.0.0.1:1857" + Number, std::move(Script)));
+    apply();
+  }
+
+  void apply() {
+    fleet_view View{.Serial = 1,
+                    .Plan = std::make_shared<fleet::routing_plan>(Plan),
+                    .Entries = {"e"}};
+    for (const auto &Target : Targets)
+      View.Targets.push_back({.Id = Target->id(),
+                              .Service = "s",
+                              .DataCentre = "pos",
+                              .Address = Target->address(),
+                              .Slots = 4,
+                              .StartedAtMs = 1});
+    Gateway.apply(View);
+  }
+
+  template <typename Condition>
+  bool runUntil(Condition Done,
+                base::duration Limit = std::chrono::seconds(4)) {
+    const base::instant End = Loop.now() + Limit;
+    while (!Done() && Loop.now() < End)
+      Loop.context().run_one_for(milliseconds(5));
+    return Done();
+  }
+
+  /// Sends one request and returns all that comes back within a moment after
+  /// the first byte.
+  std::string ask(const std::string &Bytes) {
+    test_caller Caller(Loop);
+    Caller.send(Bytes);
+    runUntil([&Caller] { return !Caller.Received.empty() || Caller.Ended; });
+    const base::instant Until = Loop.now() + milliseconds(30);
+    runUntil([this, Until] { return Loop.now() > Until; });
+    const std::string Received = Caller.Received;
+    Caller.close();
+    Loop.context().poll();
+    return Received;
+  }
+
+  std::size_t arrived() const {
+    std::size_t Count = 0;
+    for (const auto &Target : Targets)
+      Count += Target->requests().size();
+    return Count;
+  }
+};
+
+TEST(Gateway, forwardsUnchangedAndReturnsTheWholeAnswer) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "whole body")};
+  });
+  const std::string Answer =
+      ask(request("POST", "/write/x?y=1", "some body",
+                  "T-Deadline: 700\r\nX-Kept: 1\r\nX-Own: 2\r\n"
+                  "Connection: keep-alive, X-Own\r\n"));
+  STRCMP_CONTAINS("HTTP/1.1 200 OK", Answer.c_str());
+  STRCMP_CONTAINS("T-Signature: s", Answer.c_str());
+  STRCMP_CONTAINS("whole body", Answer.c_str());
+  const seen_request &Seen = Targets[0]->requests().at(0);
+  STRCMP_EQUAL("/write/x?y=1", Seen.Target.c_str());
+  STRCMP_EQUAL("some body", Seen.Body.c_str());
+  CHECK_TRUE(headerOf(Seen.Fields, "X-Kept") == "1");
+  CHECK_TRUE(headerOf(Seen.Fields, "X-Own").empty());
+  CHECK_TRUE(headerOf(Seen.Fields, "T-Expect") == "t0");
+  const auto Left = parseWhole(headerOf(Seen.Fields, "T-Deadline"));
+  CHECK_TRUE(Left && *Left <= 700 && *Left > 500);
+}
+
+TEST(Gateway, anUnknownRouteIs404AndNoPlanIs503) {
+  STRCMP_CONTAINS("HTTP/1.1 503", ask(request("GET", "/read/x")).c_str());
+  apply();
+  STRCMP_CONTAINS("HTTP/1.1 404", ask(request("GET", "/other/x")).c_str());
+}
+
+TEST(Gateway, aRefusalGoesToAnotherTargetAndThenToTheCaller) {
+  for (int Number = 0; Number < 3; ++Number)
+    addTarget(
+        [](const seen_request &) { return target_action{.Bytes = Refusal}; });
+  const std::string Answer = ask(request("POST", "/write/x", "b"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Answer.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Answer.c_str());
+  // The route allows two targets.
+  CHECK_EQUAL(2U, arrived());
+}
+
+TEST(Gateway, aRequestThatMayHaveRunIsNeitherSentAgainNorRefused) {
+  for (int Number = 0; Number < 2; ++Number)
+    addTarget(
+        [](const seen_request &) { return target_action{.Close = true}; });
+  STRCMP_CONTAINS("HTTP/1.1 502",
+                  ask(request("POST", "/write/x", "b")).c_str());
+  CHECK_EQUAL(1U, arrived());
+}
+
+TEST(Gateway, anIdempotentRequestIsSentAgainAfterABreak) {
+  addTarget([](const seen_request &) { return target_action{.Close = true}; });
+  addTarget([](const seen_request &) {
+    return target_action{.Bytes = "HTTP/1.1 200 OK\r\nT-Signature: s\r\n"
+                                  "Content-Length: 50\r\n\r\nhalf",
+                         .Close = true};
+  });
+  // Neither a broken nor a truncated answer reaches the caller as a success.
+  STRCMP_CONTAINS("HTTP/1.1 502", ask(request("GET", "/read/x")).c_str());
+  CHECK_EQUAL(2U, arrived());
+}
+
+TEST(Gateway, anAnswerWithoutSignatureOrEncodedIsNoSuccess) {
+  addTarget([](const seen_request &Request) {
+    const bool Encoded = Request.Target == "/write/encoded";
+    return target_action{
+        .Bytes =
+            std::string("HTTP/1.1 200 OK\r\nT-Request: id1\r\n") +
+            (Encoded ? "T-Signature: s\r\nContent-Encoding: gzip\r\n" : "") +
+            "Content-Length: 2\r\n\r\nhi"};
+  });
+  STRCMP_CONTAINS("HTTP/1.1 502",
+                  ask(request("POST", "/write/encoded", "b")).c_str());
+  STRCMP_CONTAINS("HTTP/1.1 502",
+                  ask(request("POST", "/write/unsigned", "b")).c_str());
+}
+
+TEST(Gateway, anExtraAnswerReachesNobody) {
+  addTarget([](const seen_request &Request) {
+    const std::string Own = scripted_target::ok(Request, "own");
+    // Every answer comes twice.
+    return target_action{.Bytes = Own + Own};
+  });
+  for (int Number = 0; Number < 3; ++Number) {
+    const std::string Id = "id" + std::to_string(Number);
+    const std::string Answer =
+        ask("GET /read/x HTTP/1.1\r\nHost: a.example\r\nT-Request: " + Id +
+            "\r\nT-Deadline: 900\r\n\r\n");
+    STRCMP_CONTAINS(("T-Request: " + Id).c_str(), Answer.c_str());
+    CHECK_EQUAL(Answer.find("HTTP/1.1"), Answer.rfind("HTTP/1.1"));
+  }
+}
+
+TEST(Gateway, aLateAnswerOfAnotherRequestIsPassedOver) {
+  addTarget([](const seen_request &Request) {
+    return target_action{
+        .Bytes = "HTTP/1.1 200 OK\r\nT-Request: other\r\nT-Signature: s\r\n"
+                 "Content-Length: 5\r\n\r\nother" +
+                 scripted_target::ok(Request, "mine")};
+  });
+  const std::string Answer = ask(request("GET", "/read/x"));
+  STRCMP_CONTAINS("mine", Answer.c_str());
+  CHECK_TRUE(Answer.find("other") == std::string::npos);
+}
+
+TEST(Gateway, aTargetsOwnFailureIsReturnedAsItIs) {
+  addTarget([](const seen_request &Request) {
+    std::string Bytes = scripted_target::ok(Request, "broken");
+    Bytes.replace(0, 15, "HTTP/1.1 500 No");
+    return target_action{.Bytes = Bytes};
+  });
+  const std::string Answer = ask(request("POST", "/write/x", "b"));
+  STRCMP_CONTAINS("HTTP/1.1 500", Answer.c_str());
+  STRCMP_CONTAINS("T-Signature: s", Answer.c_str());
+}
+
+TEST(Gateway, aCallerThatLeavesEndsTheWorkAtTheTarget) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return arrived() == 1; }));
+  Caller.close();
+  CHECK_TRUE(runUntil([this] { return Targets[0]->abandoned() == 1; },
+                      milliseconds(400)));
+}
+
+TEST(Gateway, theRoutesTimeIsKept) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  const base::instant Begun = Loop.now();
+  STRCMP_CONTAINS("HTTP/1.1 504",
+                  ask(request("POST", "/write/x", "b")).c_str());
+  CHECK_TRUE(Loop.now() - Begun < milliseconds(1'400));
+  CHECK_TRUE(runUntil([this] { return Targets[0]->abandoned() == 1; }));
+}
+
+TEST(Gateway, aSlowTargetGetsASecondRunBesideIt) {
+  int Requests = 0;
+  const auto FirstHangs = [&Requests](const seen_request &Request) {
+    return ++Requests == 1
+               ? target_action{}
+               : target_action{.Bytes = scripted_target::ok(Request, "second")};
+  };
+  addTarget(FirstHangs);
+  addTarget(FirstHangs);
+  STRCMP_CONTAINS("second", ask(request("GET", "/read/x")).c_str());
+}
+
+TEST(Gateway, fullTargetsMakeARequestWaitAndThenRefuseIt) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+  });
+  Targets[0]->setLoad("4,0,4,100");
+  const base::instant Begun = Loop.now();
+  test_caller Waits(Loop);
+  Waits.send(request("GET", "/read/x"));
+  const base::instant FreeAt = Begun + milliseconds(150);
+  runUntil([this, FreeAt] { return Loop.now() > FreeAt; });
+  CHECK_EQUAL(0U, arrived());
+  Targets[0]->setLoad("0,0,4,100");
+  CHECK_TRUE(runUntil([&Waits] { return !Waits.Received.empty(); }));
+  STRCMP_CONTAINS("ran", Waits.Received.c_str());
+  Targets[0]->setLoad("4,0,4,100");
+  const std::string Answer = ask(request("GET", "/read/x"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Answer.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Answer.c_str());
+  CHECK_EQUAL(1U, arrived());
+  Waits.close();
+}
+
+TEST(Gateway, aTargetThatIsAnotherOneIsNotUsed) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "wrong")};
+  });
+  fleet_view View{.Serial = 1,
+                  .Plan = std::make_shared<fleet::routing_plan>(Plan),
+                  .Entries = {"e"}};
+  View.Targets.push_back({.Id = "somebody-else",
+                          .Service = "s",
+                          .DataCentre = "pos",
+                          .Address = Targets[0]->address(),
+                          .Slots = 4,
+                          .StartedAtMs = 1});
+  Gateway.apply(View);
+  STRCMP_CONTAINS("HTTP/1.1 503", ask(request("GET", "/read/x")).c_str());
+  CHECK_EQUAL(0U, arrived());
+}
+
+TEST(Gateway, malformedRequestsGetTheirStatusAndNothingIsSent) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+  });
+  STRCMP_CONTAINS("HTTP/1.1 400", ask("nonsense\r\n\r\n").c_str());
+  STRCMP_CONTAINS("HTTP/1.1 431", ask("GET /read/x HTTP/1.1\r\nX: " +
+                                      std::string(20'000, 'x') + "\r\n\r\n")
+                                      .c_str());
+  // A second request hidden behind two lengths.
+  const std::string Smuggled =
+      ask("POST /write/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/x "
+          "HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 400", Smuggled.c_str());
+  CHECK_EQUAL(0U, arrived());
+}
+
+TEST(Gateway, chunkedBodiesArriveWhole) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+  });
+  STRCMP_CONTAINS("ran",
+                  ask("POST /write/x HTTP/1.1\r\nHost: a.example\r\n"
+                      "T-Request: id1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
+                      .c_str());
+  STRCMP_EQUAL("abcdefg", Targets[0]->requests().at(0).Body.c_str());
+}
+
+TEST(Gateway, aStopFinishesWhatRunsAndTakesNothingNew) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  test_caller Caller(Loop);
+  Caller.send(request("POST", "/write/x", "b"));
+  CHECK_TRUE(runUntil([this] { return arrived() == 1; }));
+  CHECK_TRUE(Gateway.ready());
+  bool Stopped = false;
+  Gateway.stop([&Stopped] { Stopped = true; });
+  CHECK_FALSE(Gateway.ready());
+  CHECK_TRUE(runUntil([&Stopped] { return Stopped; }));
+  // The running request got its answer before the end.
+  STRCMP_CONTAINS("HTTP/1.1 504", Caller.Received.c_str());
+  STRCMP_CONTAINS("Connection: close", Caller.Received.c_str());
+  Caller.close();
+}
--- /dev/null
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -0,0 +1,99 @@
+// The scripted target's connections.
+
+#include "tests/scriptedtarget.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace fulmar::gateway {
+
+class scripted_target::connection
+    : public std::enable_shared_from_this<connection> {
+public:
+  connection(const scripted_target &Owner, tcp::socket Accepted)
+      : Socket(std::move(Accepted)), Id(Owner.Id), Script(Owner.Script),
+        Requests(Owner.Requests), Abandoned(Owner.Abandoned),
+        LoadText(Owner.LoadText) {}
+
+  void read() {
+    Message = {};
+    http::async_read(
+        Socket, Buffer, Message,
+        [Self = shared_from_this()](error_code Failed, std::size_t /*Count*/) {
+          if (Failed)
+            return Self->onEnd();
+          Self->onRequest();
+        });
+  }
+
+private:
+  void onEnd() {
+    if (Unanswered)
+      ++*Abandoned;
+  }
+
+  void onRequest() {
+    if (Message.target() == "/healthz")
+      return reply({.Bytes = "HTTP/1.1 200 OK\r\nT-Id: " + Id + "\r\nT-Load: " +
+                             *LoadText + "\r\nContent-Length: 0\r\n\r\n"});
+    Requests->push_back({.Method = std::string(Message.method_string()),
+                         .Target = std::string(Message.target()),
+                         .Body = Message.body(),
+                         .Fields = Message.base()});
+    const target_action Action = (*Script)(Requests->back());
+    Unanswered = Action.Bytes.empty();
+    reply(Action);
+  }
+
+  void reply(const target_action &Action) {
+    if (Action.Bytes.empty() && !Action.Close)
+      return read();
+    const auto Bytes = std::make_shared<std::string>(Action.Bytes);
+    asio::async_write(Socket, asio::buffer(*Bytes),
+                      [Self = shared_from_this(), Bytes, Close = Action.Close](
+                          error_code /*Failed*/, std::size_t /*Count*/) {
+                        if (!Close)
+                          return Self->read();
+                        error_code Ignored;
+                        Self->Socket.close(Ignored);
+                      });
+  }
+
+  tcp::socket Socket;
+  std::string Id;
+  std::shared_ptr<script> Script;
+  std::shared_ptr<std::vector<seen_request>> Requests;
+  std::shared_ptr<int> Abandoned;
+  std::shared_ptr<std::string> LoadText;
+  boost::beast::flat_buffer Buffer;
+  http::request<http::string_body> Message;
+  bool Unanswered = false;
+};
+
+scripted_target::scripted_target(eventloop::loop &OwningLoop,
+                                 std::string TargetId, std::string At,
+                                 script Chosen)
+    : Loop(OwningLoop), Id(std::move(TargetId)), Address(std::move(At)),
+      Script(std::make_shared<script>(std::move(Chosen))),
+      Acceptor(eventloop::listenOn(Loop, Address).value()) {
+  accept();
+}
+
+void scripted_target::accept() {
+  Acceptor.async_accept([this](error_code Failed, tcp::socket Socket) {
+    if (Failed)
+      return;
+    std::make_shared<connection>(*this, std::move(Socket))->read();
+    accept();
+  });
+}
+
+std::string scripted_target::ok(const seen_request &Request,
+                                const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nT-Request: " +
+         std::string(headerOf(Request.Fields, "T-Request")) +
+         "\r\nT-Signature: s\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+} // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -0,0 +1,71 @@
+// A target whose answers a test scripts, on a socket of its own. It answers
+// health requests by itself.
+
+#ifndef FULMAR_GATEWAY_TESTS_SCRIPTEDTARGET_H
+#define FULMAR_GATEWAY_TESTS_SCRIPTEDTARGET_H
+
+#include "fulmar/eventloop/loop.h"
+#include "internal/httptypes.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar::gateway {
+
+/// What a target does with one request.
+struct target_action {
+  /// Bytes to send; none when empty.
+  std::string Bytes;
+  /// Ends the connection afterwards.
+  bool Close = false;
+};
+
+struct seen_request {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+  http::fields Fields;
+};
+
+class scripted_target {
+public:
+  using script = std::function<target_action(const seen_request &)>;
+
+  scripted_target(eventloop::loop &OwningLoop, std::string TargetId,
+                  std::string At, script Chosen);
+
+  [[nodiscard]] const std::string &id() const { return Id; }
+  [[nodiscard]] const std::string &address() const { return Address; }
+  [[nodiscard]] const std::vector<seen_request> &requests() const {
+    return *Requests;
+  }
+  /// Connections that ended while a request was unanswered.
+  [[nodiscard]] int abandoned() const { return *Abandoned; }
+  /// Value of the load header.
+  void setLoad(std::string Load) { *LoadText = std::move(Load); }
+
+  /// A whole answer as targets give it.
+  static std::string ok(const seen_request &Request, const std::string &Body);
+
+private:
+  class connection;
+  void accept();
+
+  eventloop::loop &Loop;
+  std::string Id;
+  std::string Address;
+  std::shared_ptr<script> Script;
+  std::shared_ptr<std::vector<seen_request>> Requests =
+      std::make_shared<std::vector<seen_request>>();
+  std::shared_ptr<int> Abandoned = std::make_shared<int>(0);
+  std::shared_ptr<std::string> LoadText =
+      std::make_shared<std::string>("0,0,4,100");
+  eventloop::tcp::acceptor Acceptor;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_TESTS_SCRIPTEDTARGET_H
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -45,8 +45,8 @@
     return Hope ? send_decision::Wait : send_decision::Refuse;
   if (!hasFreeSlot(*Offer, Hope ? 1 : LateShare))
     return Hope ? send_decision::Wait : send_decision::Refuse;
-  const double Factor = std::min(
-      MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
+  const double Factor =
+      std::min(MaxExpectedSlowdown, expectedTime(Offer->Load, Offer->Hidden));
   // It would be cut off before it ends.
   if (scaled(Request.UsualTime, Factor) > Request.ToEnd)
     return Hope ? send_decision::Wait : send_decision::Refuse;
--- a/modules/placement/internal/coldlimiter.cpp
+++ b/modules/placement/internal/coldlimiter.cpp
@@ -48,8 +48,7 @@
                         base::instant Now) {
   if (!allows(Target, Rate, Now))
     return false;
-  const double Senders =
-      static_cast<double>(sendersFor(Rate, Entries.size()));
+  const double Senders = static_cast<double>(sendersFor(Rate, Entries.size()));
   constexpr double MicrosPerSecond = 1e6;
   const auto Distance = base::duration(
       static_cast<base::duration::rep>(Senders / Rate * MicrosPerSecond));
--- a/modules/placement/internal/recenttimes.cpp
+++ b/modules/placement/internal/recenttimes.cpp
@@ -16,9 +16,8 @@
     return {};
   auto Sorted = Times;
   const auto End = Sorted.begin() + static_cast<std::ptrdiff_t>(Held);
-  const auto Place =
-      Sorted.begin() +
-      static_cast<std::ptrdiff_t>(Quantile * static_cast<double>(Held));
+  const auto Place = Sorted.begin() + static_cast<std::ptrdiff_t>(
+                                          Quantile * static_cast<double>(Held));
   std::nth_element(Sorted.begin(), Place, End);
   return *Place;
 }
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -63,9 +63,9 @@
   Health.setTargets(Ids, Now);
 }
 
-service_placement::standing
-service_placement::standingOf(const std::string &Id, const target &Held,
-                              base::instant Now) {
+service_placement::standing service_placement::standingOf(const std::string &Id,
+                                                          const target &Held,
+                                                          base::instant Now) {
   if (Now < Held.AwayUntil ||
       (Held.Looks > 0 && Now - Held.LookingSince >= LookLimit))
     return standing::Away;
@@ -77,8 +77,7 @@
 }
 
 std::vector<std::string>
-service_placement::candidates(const candidate_query &Query,
-                              base::instant Now) {
+service_placement::candidates(const candidate_query &Query, base::instant Now) {
   // In order of preference: own data centre, others, cold, away.
   constexpr std::size_t Classes = 4;
   std::vector<std::string> ByClass[Classes];
@@ -88,8 +87,8 @@
     const standing Standing = standingOf(Id, Held, Now);
     const bool Local =
         Query.Anywhere || Held.Report.DataCentre == Options.DataCentre;
-    const bool Permitted = Standing == standing::Cold &&
-                           Cold.allows(Id, Options.WarmUpRate, Now);
+    const bool Permitted =
+        Standing == standing::Cold && Cold.allows(Id, Options.WarmUpRate, Now);
     if (Standing == standing::Usable || (Permitted && Query.Anywhere))
       ByClass[Local ? 0 : 1].push_back(Id);
     else if (Standing == standing::Away)
--- a/modules/placement/internal/windowbudget.cpp
+++ b/modules/placement/internal/windowbudget.cpp
@@ -22,8 +22,8 @@
 window_budget::second &window_budget::current(base::instant Now) {
   const std::int64_t Number = secondOf(Now);
   const std::int64_t First =
-      Number - std::chrono::duration_cast<std::chrono::seconds>(Options.Window)
-                   .count();
+      Number -
+      std::chrono::duration_cast<std::chrono::seconds>(Options.Window).count();
   while (!Seconds.empty() && Seconds.front().Number <= First) {
     Requests -= Seconds.front().Requests;
     Again -= Seconds.front().Again;
--- /dev/null
+++ b/modules/placement/tests/limits_tests.cpp
@@ -0,0 +1,159 @@
+// The limits that must hold as a sum over all entries, although each entry
+// keeps its own part: cold targets, second sends, looks.
+
+#include "fulmar/placement/coldlimiter.h"
+#include "fulmar/placement/probebudget.h"
+#include "fulmar/placement/windowbudget.h"
+#include "fulmar/testing/property.h"
+
+#include <algorithm>
+#include <deque>
+
+using namespace fulmar;
+using namespace fulmar::placement;
+using std::chrono::milliseconds;
+
+namespace {
+
+base::instant at(std::int64_t Ms) { return base::instant(milliseconds(Ms)); }
+
+std::vector<std::string> names(std::size_t Count) {
+  std::vector<std::string> Names;
+  for (std::size_t Number = 0; Number < Count; ++Number)
+    Names.push_back("entry-" + std::to_string(Number));
+  return Names;
+}
+
+/// Most events within any window of the length.
+std::size_t mostWithin(const std::vector<std::int64_t> &Times,
+                       std::int64_t LengthMs) {
+  std::size_t Most = 0;
+  std::deque<std::int64_t> Window;
+  for (const std::int64_t Time : Times) {
+    Window.push_back(Time);
+    while (Window.front() <= Time - LengthMs)
+      Window.pop_front();
+    Most = std::max(Most, Window.size());
+  }
+  return Most;
+}
+
+} // namespace
+
+TEST_GROUP(ColdLimiter){};
+
+namespace {
+
+/// Every entry wants to send all the time; some know an older list.
+std::size_t mostAtColdTarget(std::size_t Entries, std::size_t Unknown,
+                             double Rate) {
+  const auto All = names(Entries);
+  std::vector<cold_limiter> Limiters;
+  for (std::size_t Number = 0; Number < Entries; ++Number) {
+    Limiters.emplace_back(All[Number]);
+    auto Known = All;
+    // Half of the entries have not heard of the last ones.
+    if (Number % 2 == 1)
+      Known.resize(Entries - Unknown);
+    Limiters.back().setEntries(Known);
+  }
+  std::vector<std::int64_t> Sent;
+  for (std::int64_t Ms = 0; Ms < 5'000; Ms += 5) {
+    for (cold_limiter &Limiter : Limiters) {
+      if (Limiter.take("cold-target", Rate, at(Ms)))
+        Sent.push_back(Ms);
+    }
+  }
+  CHECK_FALSE(Sent.empty());
+  return mostWithin(Sent, 1'000);
+}
+
+} // namespace
+
+TEST(ColdLimiter, allEntriesTogetherStayBelowTheBound) {
+  constexpr double Factor = 1.5;
+  constexpr double Slack = 5;
+  for (const double Rate : {0.5, 1.8, 15.0}) {
+    for (const std::size_t Entries : {1U, 3U, 22U, 200U}) {
+      const auto Bound = static_cast<std::size_t>(Rate * Factor + Slack);
+      CHECK_TRUE(mostAtColdTarget(Entries, 0, Rate) <= Bound);
+      if (Entries > 3)
+        CHECK_TRUE(mostAtColdTarget(Entries, 3, Rate) <= Bound);
+    }
+  }
+}
+
+TEST(ColdLimiter, anEntryThatNobodyKnowsSendsNothing) {
+  cold_limiter Limiter("new");
+  Limiter.setEntries({"a", "b"});
+  CHECK_FALSE(Limiter.allows("t", 15, at(0)));
+}
+
+TEST_GROUP(WindowBudget){};
+
+TEST(WindowBudget, allEntriesTogetherStayWithinAnyWindow) {
+  testing::checkProperty("bursts", [] {
+    constexpr std::size_t Entries = 20;
+    constexpr window_budget_options Options{.Ratio = 0.2, .Slack = 75};
+    std::vector<window_budget> Budgets(Entries, window_budget(Options));
+    for (window_budget &Budget : Budgets)
+      Budget.setEntries(Entries);
+    const auto PerStep = *rc::gen::inRange(1, 8);
+    std::vector<std::int64_t> Arrived;
+    std::vector<std::int64_t> Again;
+    for (std::int64_t Ms = 0; Ms < 30'000; Ms += 50) {
+      // A surge of three times the load.
+      const int Now = Ms > 10'000 && Ms < 16'000 ? 3 * PerStep : PerStep;
+      for (int Number = 0; Number < Now; ++Number) {
+        window_budget &Budget =
+            Budgets[static_cast<std::size_t>(*rc::gen::inRange(0, 20))];
+        Budget.arrived(at(Ms));
+        Arrived.push_back(Ms);
+        // Every request fails and wants to go again, twice.
+        for (int Try = 0; Try < 2; ++Try) {
+          if (Budget.take(at(Ms)))
+            Again.push_back(Ms);
+        }
+      }
+    }
+    for (std::int64_t End = 10'000; End <= 30'000; End += 500) {
+      const auto Within = [End](const std::vector<std::int64_t> &Times) {
+        return std::count_if(Times.begin(), Times.end(), [End](auto Time) {
+          return Time > End - 10'000 && Time <= End;
+        });
+      };
+      RC_ASSERT(static_cast<double>(Within(Again)) <=
+                0.2 * static_cast<double>(Within(Arrived)) + 75);
+    }
+  });
+}
+
+TEST(WindowBudget, forgetsWhatIsOlderThanTheWindow) {
+  window_budget Budget({.Ratio = 0, .Slack = 2});
+  CHECK_TRUE(Budget.take(at(0)));
+  CHECK_FALSE(Budget.take(at(9'000)));
+  CHECK_TRUE(Budget.take(at(11'000)));
+}
+
+TEST_GROUP(ProbeBudget){};
+
+TEST(ProbeBudget, aSurgeUsesWhatQuietTimesSaved) {
+  probe_budget Budget(60);
+  Budget.setFleet(30, 20);
+  CHECK_EQUAL(5U, Budget.take(5, at(20'000)));
+  std::size_t Taken = 0;
+  for (std::int64_t Ms = 20'000; Ms < 25'000; Ms += 5)
+    Taken += Budget.take(5, at(Ms));
+  // Twice the steady rate of 72 a second can be had for five seconds.
+  CHECK_TRUE(Taken >= 5U * 2U * 72U);
+}
+
+TEST(ProbeBudget, theLongRunStaysBelowTheBound) {
+  probe_budget Budget(60);
+  Budget.setFleet(30, 20);
+  std::size_t Taken = 0;
+  constexpr std::size_t Seconds = 120;
+  for (std::int64_t Ms = 0; Ms < std::int64_t(Seconds) * 1'000; ++Ms)
+    Taken += Budget.take(5, at(Ms));
+  CHECK_TRUE(Taken * 20 <= Seconds * 60 * 30);
+}
--- /dev/null
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -0,0 +1,124 @@
+// Which targets are looked at first, and how targets lose and regain their
+// place.
+
+#include "fulmar/placement/serviceplacement.h"
+#include "fulmar/testing/property.h"
+
+#include <algorithm>
+
+using namespace fulmar;
+using namespace fulmar::placement;
+using std::chrono::milliseconds;
+
+namespace {
+
+base::instant at(std::int64_t Ms) { return base::instant(milliseconds(Ms)); }
+
+fleet::target_report target(const std::string &Id, const std::string &Centre) {
+  return {.Id = Id,
+          .Service = "s",
+          .DataCentre = Centre,
+          .Address = "10.0.0.1:80",
+          .Slots = 2,
+          .StartedAtMs = 1};
+}
+
+bool contains(const std::vector<std::string> &Ids, const std::string &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+} // namespace
+
+TEST_GROUP(ServicePlacement) {
+  cold_limiter Cold{"e"};
+  service_placement Placement{{.DataCentre = "pos", .WarmUpRate = 2, .Seed = 1},
+                              Cold};
+
+  void setup() override {
+    Cold.setEntries({"e"});
+    Placement.setTargets({target("near-1", "pos"), target("near-2", "pos"),
+                          target("far", "arima")},
+                         at(0));
+  }
+};
+
+TEST(ServicePlacement, theOwnDataCentreComesFirst) {
+  const auto Ids = Placement.candidates({.Count = 2}, at(1));
+  CHECK_EQUAL(2U, Ids.size());
+  CHECK_FALSE(contains(Ids, "far"));
+}
+
+TEST(ServicePlacement, othersFillUpOnlyWhereAllowed) {
+  candidate_query Query{.Excluded = {"near-1"}, .Count = 2};
+  CHECK_EQUAL(2U, Placement.candidates(Query, at(1)).size());
+  Query.FillAbroad = false;
+  CHECK_EQUAL(1U, Placement.candidates(Query, at(1)).size());
+  Query.Excluded = {"near-1", "near-2"};
+  CHECK_TRUE(contains(Placement.candidates(Query, at(1)), "far"));
+}
+
+TEST(ServicePlacement, anUnreachableTargetIsLeftAloneAndFoundAgain) {
+  for (int Number = 0; Number < 10; ++Number)
+    Placement.unreachable("near-1", at(0));
+  CHECK_FALSE(contains(Placement.candidates({.Count = 3}, at(100)), "near-1"));
+  CHECK_TRUE(contains(Placement.candidates({.Count = 3}, at(2'000)), "near-1"));
+  Placement.unreachable("near-1", at(2'000));
+  Placement.probed("near-1", {.Slots = 2}, at(2'010));
+  CHECK_TRUE(contains(Placement.candidates({.Count = 3}, at(2'011)), "near-1"));
+}
+
+TEST(ServicePlacement, aStalledLookKeepsOthersAway) {
+  Placement.looking("near-1", at(0));
+  CHECK_TRUE(contains(Placement.candidates({.Count = 2}, at(5)), "near-1"));
+  CHECK_FALSE(contains(Placement.candidates({.Count = 2}, at(30)), "near-1"));
+  Placement.lookEnded("near-1");
+  CHECK_TRUE(contains(Placement.candidates({.Count = 2}, at(31)), "near-1"));
+}
+
+TEST(ServicePlacement, coldTargetsComeLastAndAtTheirRate) {
+  Placement.probed("near-1", {.Slots = 2, .ColdLeft = milliseconds(3'000)},
+                   at(0));
+  CHECK_FALSE(contains(Placement.candidates({.Count = 3}, at(1)), "near-1"));
+  const candidate_query Short{.Count = 3, .Anywhere = true};
+  CHECK_TRUE(contains(Placement.candidates(Short, at(1)), "near-1"));
+  CHECK_TRUE(Placement.admit("near-1", at(1)));
+  CHECK_FALSE(Placement.admit("near-1", at(100)));
+  CHECK_FALSE(contains(Placement.candidates(Short, at(100)), "near-1"));
+  CHECK_TRUE(Placement.admit("near-1", at(3'001)));
+  CHECK_TRUE(Placement.admit("near-1", at(3'001)));
+}
+
+TEST(ServicePlacement, aTargetThatStartedAnewIsColdAgain) {
+  auto Again = target("near-1", "pos");
+  Again.StartedAtMs = 2;
+  Again.ColdLeftMs = 3'000;
+  Placement.setTargets({Again}, at(0));
+  CHECK_TRUE(Placement.admit("near-1", at(1)));
+  CHECK_FALSE(Placement.admit("near-1", at(2)));
+}
+
+TEST(ServicePlacement, aTargetThatFailsItsRequestsLosesItsShare) {
+  for (int Number = 0; Number < 40; ++Number) {
+    for (const char *Id : {"near-1", "near-2", "far"}) {
+      Placement.sent(Id);
+      const bool Fails = std::string_view(Id) == "near-1";
+      Placement.ended(Id,
+                      Fails ? routing::attempt_quality::Error
+                            : routing::attempt_quality::Good,
+                      milliseconds(100), at(Number));
+    }
+  }
+  int Chosen = 0;
+  for (int Number = 0; Number < 100; ++Number)
+    Chosen += contains(Placement.candidates({.Count = 2}, at(50)), "near-1");
+  CHECK_TRUE(Chosen < 50);
+}
+
+TEST(ServicePlacement, targetsWithoutALoadAreNotLookedAtForLong) {
+  CHECK_TRUE(Placement.tellsLoad());
+  for (int Number = 0; Number < 8; ++Number)
+    Placement.probed("near-1", {}, at(Number));
+  CHECK_FALSE(Placement.tellsLoad());
+  Placement.probed("near-1", {.Slots = 2}, at(9));
+  CHECK_TRUE(Placement.tellsLoad());
+}
--- a/modules/telemetry/internal/standardoutput.cpp
+++ b/modules/telemetry/internal/standardoutput.cpp
@@ -38,9 +38,8 @@
     Line.resize(MaxLineBytes - 1);
     Line += '\n';
   }
-  if (!isWritable(Output) ||
-      ::write(Output, Line.data(), Line.size()) !=
-          static_cast<ssize_t>(Line.size())) {
+  if (!isWritable(Output) || ::write(Output, Line.data(), Line.size()) !=
+                                 static_cast<ssize_t>(Line.size())) {
     ++Dropped;
     return;
   }
