--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -29,6 +29,8 @@
   std::size_t MaxHeldBytes = std::size_t(64) << 20;
   /// Time between the order to stop and the end of the process.
   base::duration Grace = std::chrono::seconds(6);
+  /// Called for each target that a request has crashed.
+  std::function<void(const controlstate::crash_command &)> OnCrash;
 };
 
 struct gateway_state;
--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -27,7 +27,7 @@
   const std::string Key = keyOf(Target);
   auto &Held = Idle[Key];
   while (!Held.empty()) {
-    const channel_ptr Channel = Held.back();
+    channel_ptr Channel = Held.back();
     Held.pop_back();
     const bool Fresh = Loop.now() - Channel->idleSince() < Channel->idleLimit();
     if (Channel->reusable() && Fresh)
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -115,9 +115,11 @@
     fail({base::error_kind::UnknownService, "no route"});
     return false;
   }
-  Fingerprint = routing::fingerprintText(routing::fingerprintOfContent(
-      Request.Method, Request.Target, Request.Body ? *Request.Body : ""));
-  if (State.Quarantined.contains(Fingerprint)) {
+  Fingerprint = routing::fingerprintOfContent(
+      Request.Method,
+      std::string(headerOf(Request.Fields, "Host")) + Request.Target,
+      *Request.Body);
+  if (State.Quarantined.contains(routing::fingerprintText(Fingerprint))) {
     fail({base::error_kind::Quarantined, "the request crashes targets"});
     return false;
   }
@@ -190,11 +192,11 @@
         return Placement.inFlight(Left) < Placement.inFlight(Right);
       });
   const fleet::target_report *Target = Placement.find(*Least);
-  channel_ptr Channel = State.Pool.acquire(*Target);
+  const channel_ptr Channel = State.Pool.acquire(*Target);
   Choosing = false;
   if (!Channel || !Service->Placement.admit(*Least, State.Loop.now()))
     return sendAgain();
-  send(*Least, std::move(Channel), {});
+  send(*Least, Channel, {});
 }
 
 void exchange::onLook() {
@@ -259,10 +261,10 @@
     return decide();
   }
   const placement::admission_offer Taken = *Offer;
-  channel_ptr Channel = Best->takeChannel();
+  const channel_ptr Channel = Best->takeChannel();
   dropLooks();
   Choosing = false;
-  send(Target, std::move(Channel), Taken);
+  send(Target, Channel, Taken);
   // Where one found room, the next may.
   if (std::exchange(Polling, false)) {
     if (const auto Next = Service->Waiters.takeFirst())
@@ -363,7 +365,7 @@
   return Head + "\r\n";
 }
 
-void exchange::send(const std::string &Target, channel_ptr Channel,
+void exchange::send(const std::string &Target, const channel_ptr &Channel,
                     const placement::admission_offer &Offer) {
   if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
     State.Pool.release(Channel);
@@ -440,12 +442,24 @@
   LastFailure = Result.error();
   const bool Untouched = Result.error().Kind == base::error_kind::Unreachable;
   MayHaveRun = MayHaveRun || !Untouched;
+  if (!Untouched)
+    noteBreak(Attempts[Index].Target);
   endAttempt(Index, attempt_quality::Break);
   if (Untouched)
     Service->Placement.unreachable(Attempts[Index].Target, State.Loop.now());
   sendAgain();
 }
 
+/// The request is suspected of having crashed the target.
+void exchange::noteBreak(const std::string &Target) {
+  const fleet::target_report *Held = Service->Placement.find(Target);
+  if (Held != nullptr)
+    State.Crashes.broken({.Fingerprint = Fingerprint,
+                          .Target = base::target_id(Target),
+                          .Incarnation = std::to_string(Held->StartedAtMs)},
+                         State.Loop.now());
+}
+
 void exchange::onWhole(std::size_t Index, target_answer Answer) {
   constexpr unsigned FirstRedirect = 300;
   constexpr unsigned FirstServerError = 500;
@@ -466,6 +480,8 @@
     Times->Usual.record(
         placement::normalised(State.Loop.now() - Attempts[Index].SentAt,
                               Attempts[Index].ExpectedFactor));
+    State.Crashes.answered(base::target_id(Attempts[Index].Target), Fingerprint,
+                           State.Loop.now());
     endAttempt(Index, attempt_quality::Good);
     return deliver(std::move(Answer));
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -82,12 +82,13 @@
   void poll(const std::string &First);
   void lookAgainLater(placement::send_decision Decision);
   [[nodiscard]] look *best() const;
-  void send(const std::string &Target, channel_ptr Channel,
+  void send(const std::string &Target, const channel_ptr &Channel,
             const placement::admission_offer &Offer);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
   void armHedge();
   void hedge();
   void onAnswer(std::size_t Index, base::result<target_answer> Result);
+  void noteBreak(const std::string &Target);
   void onWhole(std::size_t Index, target_answer Answer);
   void endAttempt(std::size_t Index, routing::attempt_quality Quality);
   void sendAgain();
@@ -112,7 +113,8 @@
   const fleet::route *Route = nullptr;
   service_ptr Service;
   std::string RequestId;
-  std::string Fingerprint;
+  /// Same for every resend of the request.
+  std::uint64_t Fingerprint = 0;
   bool Idempotent = false;
   base::instant End{};
   /// Of the route; owned by the gateway's state.
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/exchange.h"
 
+#include "fulmar/routing/fingerprint.h"
 #include "fulmar/telemetry/log.h"
 
 #include <absl/random/distributions.h>
@@ -152,6 +153,7 @@
        {"route", Route == nullptr ? "" : Route->Name},
        {"plan", Plan ? std::to_string(Plan->Version) : "none"},
        {"service", Service ? Service->Service.Name : ""},
+       {"fingerprint", routing::fingerprintText(Fingerprint)},
        {"status", std::to_string(Status)},
        {"cause", std::string(Reason)},
        {"sends", sendsText()},
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmar/gateway/gateway.h"
 
+#include "fulmar/routing/fingerprint.h"
 #include "fulmar/telemetry/log.h"
 #include "internal/frontsession.h"
 #include "internal/gatewaystate.h"
@@ -71,6 +72,22 @@
     Session->sweep();
 }
 
+void reportCrashes(gateway_state &State) {
+  for (const routing::crash_report &Report : State.Crashes.takeReports()) {
+    const std::string Fingerprint =
+        routing::fingerprintText(Report.Fingerprint);
+    telemetry::logChange(telemetry::log_level::Warning, "gateway",
+                         "request-crashed-target",
+                         {{"fingerprint", Fingerprint},
+                          {"target", Report.Target.str()},
+                          {"run", Report.Incarnation}});
+    if (State.Options.OnCrash)
+      State.Options.OnCrash({.Fingerprint = Fingerprint,
+                             .Target = Report.Target.str(),
+                             .Incarnation = Report.Incarnation});
+  }
+}
+
 void applyPlan(gateway_state &State,
                const std::shared_ptr<const fleet::routing_plan> &Plan) {
   if (!Plan || Plan == State.Routes.plan())
@@ -111,6 +128,8 @@
   std::set<std::string> Keys;
   for (const fleet::target_report &Target : View.Targets) {
     ByService[Target.Service].push_back(Target);
+    State.Crashes.incarnationSeen(base::target_id(Target.Id),
+                                  std::to_string(Target.StartedAtMs), Now);
     Keys.insert(channel_pool::keyOf(Target));
   }
   for (auto &[Name, Service] : State.Services) {
@@ -138,7 +157,7 @@
 
 std::shared_ptr<exchange> waiter_queue::takeFirst() {
   while (!Waiters.empty()) {
-    const auto First = Waiters.begin()->second.lock();
+    auto First = Waiters.begin()->second.lock();
     Waiters.erase(Waiters.begin());
     if (First)
       return First;
@@ -184,6 +203,7 @@
   State->Evaluator.every(EvaluateInterval, [this] {
     for (const auto &[Name, Service] : State->Services)
       Service->Placement.evaluate(State->Loop.now());
+    reportCrashes(*State);
   });
   return base::success();
 }
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -9,6 +9,7 @@
 #include "fulmar/placement/recenttimes.h"
 #include "fulmar/placement/serviceplacement.h"
 #include "fulmar/placement/windowbudget.h"
+#include "fulmar/routing/crashdetector.h"
 #include "internal/channelpool.h"
 
 #include <map>
@@ -105,6 +106,7 @@
   /// By route name.
   std::map<std::string, placement::route_times> Times;
   std::set<std::string> Quarantined;
+  routing::crash_detector Crashes;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
   /// Bytes of request bodies in memory.
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -68,6 +68,8 @@
   const base::instant Now = State.Loop.now();
   if (!Answer) {
     Service->Placement.unreachable(Target.Id, Now);
+    if (Answer.error().Kind == base::error_kind::Unreachable)
+      State.Crashes.unreachable(base::target_id(Target.Id), Now);
     return finish();
   }
   const target_answer &Told = Answer.value();
