--- /dev/null
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -0,0 +1,187 @@
+// The links of a control instance: who connects, and what their messages do.
+
+#include "fulmar/controlnode/controlnode.h"
+
+#include "fulmar/telemetry/log.h"
+
+#include <algorithm>
+
+namespace fulmar::controlnode {
+
+namespace {
+
+/// A peer whose proof is older says nothing about the present members.
+constexpr std::int64_t FreshProofMs = 1'000;
+
+} // namespace
+
+void control_node::accept(const link_ptr &Link) {
+  Accepted[Link.get()] = {Link, {}};
+  Link->start(
+      [this, Raw = Link.get()](std::string_view Frame) {
+        const auto Found = Accepted.find(Raw);
+        if (Found != Accepted.end())
+          onAcceptedFrame(Found->second.Link, Frame);
+      },
+      [this, Raw = Link.get()] {
+        const auto Found = Accepted.find(Raw);
+        if (Found == Accepted.end())
+          return;
+        if (!Found->second.EntryId.empty())
+          Liveness.lostEntry(Found->second.EntryId);
+        Accepted.erase(Found);
+      });
+  Link->send(fleetlink::encodeLink(
+      fleetlink::control_notice{Options.DataCentre, controls()}));
+  Link->send(fleetlink::encodeLink(notice()));
+}
+
+void control_node::onAcceptedFrame(const link_ptr &Link,
+                                   std::string_view Frame) {
+  const auto Message = fleetlink::decodeLink(Frame);
+  if (!Message) {
+    telemetry::logChange(telemetry::log_level::Warning, "control",
+                         "link-malformed",
+                         {{"error", Message.error().Message}});
+    return Link->close();
+  }
+  std::visit([&](const auto &Body) { take(Link, Body); }, Message.value());
+}
+
+void control_node::onDialedFrame(const std::string &Peer,
+                                 std::string_view Frame) {
+  const auto Message = fleetlink::decodeLink(Frame);
+  if (!Message)
+    return;
+  Voters.heard(Peer, Loop.now());
+  std::vector<std::string> &Listed = ListedBy[Peer];
+  if (const auto *Members =
+          std::get_if<fleetlink::control_notice>(&Message.value())) {
+    Listed = Members->Controls;
+    for (const std::string &Address : Listed)
+      dial(Address);
+  }
+  const auto *Notice = std::get_if<fleetlink::log_notice>(&Message.value());
+  const bool Fresh = Notice != nullptr && Notice->ProofAgeMs >= 0 &&
+                     Notice->ProofAgeMs <= FreshProofMs;
+  if (Fresh)
+    Unlisted = std::find(Listed.begin(), Listed.end(), Options.LinkAddress) ==
+               Listed.end();
+}
+
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::entry_notice &Notice) {
+  accepted_link &Held = Accepted[Link.get()];
+  if (Held.EntryId.empty())
+    telemetry::logChange(telemetry::log_level::Info, "control",
+                         "entry-connected", {{"entry", Notice.Report.Id}});
+  Held.EntryId = Notice.Report.Id;
+  Liveness.heardEntry(Notice, Loop.now());
+}
+
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::entry_alive & /*Alive*/) {
+  Liveness.heardAgain(Accepted[Link.get()].EntryId, Loop.now());
+}
+
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::fetch_request &Request) {
+  Link->send(fleetlink::encodeLink(
+      fleetlink::fetch_reply{State.published().changesSince(Request.Since)}));
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::crash_notice &Notice) {
+  proposeQuietly(Notice.Crash);
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::log_message &Message) {
+  Voters.heard(Message.From, Loop.now());
+  Log->deliver(Message.From, Message.Bytes, Loop.now());
+  dial(Message.From);
+  scheduleFlush();
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::join_request &Request) {
+  dial(Request.Id);
+  if (!Leads)
+    return;
+  const base::instant Now = Loop.now();
+  const auto Change = Voters.onJoinRequest(Request.Id, Log->status(Now).Members,
+                                           Options.LinkAddress, Now);
+  if (!Change)
+    return;
+  const bool Adds = Change->Kind == voter_change::kind::Add;
+  const auto Begun =
+      Adds ? Log->addVoter(Change->Id, Now) : Log->removeVoter(Change->Id, Now);
+  telemetry::logChange(telemetry::log_level::Info, "control",
+                       Adds ? "voter-added" : "voter-removed",
+                       {{"instance", Change->Id},
+                        {"for", Request.Id},
+                        {"outcome", Begun ? "begun" : Begun.error().Message}});
+  scheduleFlush();
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::call_request &Request) {
+  callHere(
+      Request.Call, Request.Command,
+      [this, From = Request.From, Id = Request.Id](const call_result &Result) {
+        fleetlink::call_reply Reply{.Id = Id, .Succeeded = Result.has_value()};
+        if (Result) {
+          Reply.Reply = Result.value();
+        } else {
+          Reply.ErrorKind = static_cast<std::uint32_t>(Result.error().Kind);
+          Reply.Message = Result.error().Message;
+        }
+        sendTo(From, std::move(Reply));
+      });
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::call_reply &Reply) {
+  if (Reply.Succeeded)
+    return complete(Calls.finish(Reply.Id, Reply.Reply));
+  Calls.postpone(Reply.Id, Loop.now());
+}
+
+void control_node::take(const link_ptr & /*Link*/,
+                        const fleetlink::liveness_notice &Notice) {
+  for (const std::string &Id : Notice.Targets)
+    Liveness.heardTarget(Id, Loop.now());
+}
+
+void control_node::dial(const std::string &Address) {
+  if (Address.empty() || Address == Options.LinkAddress ||
+      Dialers.contains(Address))
+    return;
+  Dialers[Address] = std::make_unique<eventloop::frame_dialer>(
+      Loop, eventloop::frame_dialer::options{.Address = Address},
+      eventloop::frame_dialer::handlers{
+          .Connected =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Info, "control",
+                                     "peer-connected", {{"peer", Address}});
+                Calls.retryAll(Loop.now());
+              },
+          .Frame =
+              [this, Address](std::string_view Frame) {
+                onDialedFrame(Address, Frame);
+              },
+          .Lost =
+              [this, Address] {
+                telemetry::logChange(telemetry::log_level::Warning, "control",
+                                     "peer-lost", {{"peer", Address}});
+              }});
+}
+
+void control_node::sendTo(const std::string &Peer,
+                          fleetlink::link_message Message) {
+  const auto Found = Dialers.find(Peer);
+  if (Found != Dialers.end())
+    Found->second->send(fleetlink::encodeLink(Message));
+}
+
+} // namespace fulmar::controlnode
--- a/modules/controlstate/internal/snapshot.cpp
+++ b/modules/controlstate/internal/snapshot.cpp
@@ -68,7 +68,7 @@
 }
 
 base::result<snapshot_form> formFrom(std::string_view Snapshot) {
-  const auto Form = claims::unpackValue<snapshot_form>(Snapshot);
+  auto Form = claims::unpackValue<snapshot_form>(Snapshot);
   if (Form && Form.value().Version == SnapshotVersion)
     return Form;
   BOOST_OUTCOME_TRY(First, claims::unpackValue<first_snapshot_form>(Snapshot));
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -100,6 +100,7 @@
   void fail(const base::error &Error);
   void giveUp();
   void finish(front_answer Answer);
+  void endWork();
   void dropLooks();
   void dropAttempts(routing::attempt_quality Quality);
   void log(unsigned Status, std::string_view Cause) const;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -78,7 +78,8 @@
   fail(Failure);
 }
 
-void exchange::finish(front_answer Answer) {
+/// Stops everything that is under way.
+void exchange::endWork() {
   dropLooks();
   dropAttempts(attempt_quality::Cancelled);
   Overall.cancel();
@@ -87,6 +88,10 @@
   Choosing = false;
   stopWaiting();
   --State.Running;
+}
+
+void exchange::finish(front_answer Answer) {
+  endWork();
   log(Answer.Status, Cause);
   const base::duration Elapsed = State.Loop.now() - Request.ArrivedAt;
   State.Metrics.latencyOf("fulmar_request_seconds").record(Elapsed);
@@ -103,14 +108,7 @@
   if (!OnDone)
     return;
   OnDone = {};
-  dropLooks();
-  dropAttempts(attempt_quality::Cancelled);
-  Overall.cancel();
-  RoundTimer.cancel();
-  HedgeTimer.cancel();
-  Choosing = false;
-  stopWaiting();
-  --State.Running;
+  endWork();
   log(0, "the caller has gone");
   State.Metrics.counterOf("fulmar_requests_abandoned_total").add();
 }
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -52,10 +52,7 @@
         Service->Placement.find(Channel->targetId());
     if (Target == nullptr || Target->DataCentre != State.Options.DataCentre)
       continue;
-    std::string Head = "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
-    appendHeader(Head, "Host", Target->Address);
-    Head += "\r\n";
-    return Channel->call({.Head = std::move(Head)},
+    return Channel->call(healthCall(Service->Service, *Target),
                          [&State, Channel](const auto & /*Answer*/) {
                            State.Pool.release(Channel);
                          });
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -40,6 +40,14 @@
 
 } // namespace
 
+target_call healthCall(const fleet::service &Service,
+                       const fleet::target_report &Target) {
+  std::string Head = "GET " + Service.HealthPath + " HTTP/1.1\r\n";
+  appendHeader(Head, "Host", Target.Address);
+  Head += "\r\n";
+  return {.Head = std::move(Head)};
+}
+
 look::look(gateway_state &Owner, service_ptr Looked,
            const fleet::target_report &At)
     : State(Owner), Service(std::move(Looked)), Target(At),
@@ -51,13 +59,10 @@
   Channel = State.Pool.acquire(Target);
   if (!Channel)
     return finish();
-  std::string Head = "GET " + Service->Service.HealthPath + " HTTP/1.1\r\n";
-  appendHeader(Head, "Host", Target.Address);
-  Head += "\r\n";
   Silence.after(SilenceLimit,
                 [Self = shared_from_this()] { Self->onSilence(); });
   Channel->call(
-      {.Head = std::move(Head)},
+      healthCall(Service->Service, Target),
       [Self = shared_from_this()](const base::result<target_answer> &Answer) {
         Self->onAnswer(Answer);
       });
--- a/modules/gateway/internal/look.h
+++ b/modules/gateway/internal/look.h
@@ -13,6 +13,10 @@
 
 namespace fulmar::gateway {
 
+/// The health request to \p Target.
+target_call healthCall(const fleet::service &Service,
+                       const fleet::target_report &Target);
+
 class look : public std::enable_shared_from_this<look> {
 public:
   look(gateway_state &Owner, service_ptr Looked,
