--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -109,7 +109,7 @@
   /// Carries a call out here; \p Done may be called later.
   void callHere(fleetlink::leader_call Call, std::string Command,
                 const call_handler &Done);
-  void sendTo(const std::string &Peer, fleetlink::link_message Message);
+  void sendTo(const std::string &Peer, const fleetlink::link_message &Message);
   void announce();
   void maintain();
   void askForPlace();
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -178,7 +178,7 @@
 }
 
 void control_node::sendTo(const std::string &Peer,
-                          fleetlink::link_message Message) {
+                          const fleetlink::link_message &Message) {
   const auto Found = Dialers.find(Peer);
   if (Found != Dialers.end())
     Found->second->send(fleetlink::encodeLink(Message));
