Remove a lost voter once the others bear more losses without it

Cause: a newcomer that asked for a place within 8 s of a voter's loss was added beside it, and nothing removed the lost one afterwards. Four voters, three of them alive, need three: a further loss stopped the log although three instances were well. Five listed with four heard stay: that would gain nothing. An instance that lost its place asks for one again when a peer with a fresh proof doesn't list it.

Ruled out: removing every silent voter; with three listed and two heard that gives a place up for nothing.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -32,6 +32,8 @@
   bool Bootstrap = false;
   /// Link addresses of the instances that are known at the start.
   std::vector<std::string> Seeds;
+  /// Silence after which a voter counts as gone.
+  base::duration DeadVoterLimit = voter_keeper::DefaultDeadVoterLimit;
 };
 
 class control_node {
@@ -113,6 +115,8 @@
   void announce();
   void maintain();
   void askForPlace();
+  void removeSurplusVoter();
+  void change(const voter_change &Change, const std::string &Newcomer);
   void proposeQuietly(controlstate::command_body Body);
   void fail(const base::error &Cause);
   [[nodiscard]] fleetlink::log_notice notice() const;
--- a/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
+++ b/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
@@ -1,6 +1,6 @@
-// Which membership change of the replicated log the leader should make when an
-// instance without a place asks for one: a newcomer takes the place of a voter
-// that has been silent for long, and no place is given up otherwise.
+// Which membership change of the replicated log the leader should make: a
+// newcomer takes the place of a voter that has been silent for long, and silent
+// voters lose their places once the others bear more losses without them.
 
 #ifndef FULMAR_CONTROLNODE_VOTERKEEPER_H
 #define FULMAR_CONTROLNODE_VOTERKEEPER_H
@@ -30,7 +30,12 @@
 class voter_keeper {
 public:
   /// Longer than machines usually are frozen, cut off or restarted.
-  static constexpr base::duration DeadVoterLimit = std::chrono::seconds(8);
+  static constexpr base::duration DefaultDeadVoterLimit =
+      std::chrono::seconds(8);
+
+  /// Voters that are silent for longer than \p Limit count as gone.
+  explicit voter_keeper(base::duration Limit = DefaultDeadVoterLimit)
+      : DeadVoterLimit(Limit) {}
 
   /// Something arrived from the instance.
   void heard(const std::string &Id, base::instant Now) { HeardAt[Id] = Now; }
@@ -42,10 +47,16 @@
   onJoinRequest(const std::string &Newcomer,
                 const consensus::configuration &Members,
                 const std::string &Self, base::instant Now) const;
+  /// The silent voter to remove, where the instances that are heard would bear
+  /// more further losses without those that are silent.
+  [[nodiscard]] std::optional<voter_change>
+  surplusVoter(const consensus::configuration &Members, const std::string &Self,
+               base::instant Now) const;
 
 private:
   [[nodiscard]] bool isSilent(const std::string &Id, base::instant Now) const;
 
+  base::duration DeadVoterLimit;
   std::map<std::string, base::instant> HeardAt;
   base::instant LeaderSince{};
 };
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -111,17 +111,8 @@
   const base::instant Now = Loop.now();
   const auto Change = Voters.onJoinRequest(Request.Id, Log->status(Now).Members,
                                            Options.LinkAddress, Now);
-  if (!Change)
-    return;
-  const bool Adds = Change->Kind == voter_change::kind::Add;
-  const auto Begun =
-      Adds ? Log->addVoter(Change->Id, Now) : Log->removeVoter(Change->Id, Now);
-  telemetry::logChange(telemetry::log_level::Info, "control",
-                       Adds ? "voter-added" : "voter-removed",
-                       {{"instance", Change->Id},
-                        {"for", Request.Id},
-                        {"outcome", Begun ? "begun" : Begun.error().Message}});
-  scheduleFlush();
+  if (Change)
+    change(*Change, Request.Id);
 }
 
 void control_node::take(const link_ptr & /*Link*/,
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -60,8 +60,8 @@
                            control_node_options Chosen,
                            telemetry::metrics &Registry)
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
-      Server(Loop), Ticker(Loop), Announcer(Loop), Maintainer(Loop),
-      HandOverLimit(Loop) {}
+      Server(Loop), Voters(Options.DeadVoterLimit), Ticker(Loop),
+      Announcer(Loop), Maintainer(Loop), HandOverLimit(Loop) {}
 
 control_node::~control_node() {
   for (const auto &[Raw, Held] : Accepted)
@@ -296,11 +296,33 @@
       sendTo(Leader, fleetlink::liveness_notice{std::move(Heard)});
     return;
   }
+  removeSurplusVoter();
   for (controlstate::command_body &Body :
        Liveness.dueCommands(State, Loop.now()))
     proposeQuietly(std::move(Body));
 }
 
+void control_node::removeSurplusVoter() {
+  const base::instant Now = Loop.now();
+  if (const auto Change = Voters.surplusVoter(Log->status(Now).Members,
+                                              Options.LinkAddress, Now))
+    change(*Change, "");
+}
+
+void control_node::change(const voter_change &Change,
+                          const std::string &Newcomer) {
+  const base::instant Now = Loop.now();
+  const bool Adds = Change.Kind == voter_change::kind::Add;
+  const auto Begun =
+      Adds ? Log->addVoter(Change.Id, Now) : Log->removeVoter(Change.Id, Now);
+  telemetry::logChange(telemetry::log_level::Info, "control",
+                       Adds ? "voter-added" : "voter-removed",
+                       {{"instance", Change.Id},
+                        {"for", Newcomer},
+                        {"outcome", Begun ? "begun" : Begun.error().Message}});
+  scheduleFlush();
+}
+
 void control_node::askForPlace() {
   const auto Listed = controls();
   const bool Missing = std::find(Listed.begin(), Listed.end(),
--- a/modules/controlnode/internal/voterkeeper.cpp
+++ b/modules/controlnode/internal/voterkeeper.cpp
@@ -38,4 +38,26 @@
   return voter_change{voter_change::kind::Add, Newcomer};
 }
 
+std::optional<voter_change>
+voter_keeper::surplusVoter(const consensus::configuration &Members,
+                           const std::string &Self, base::instant Now) const {
+  if (!Members.Formed || !Members.Learners.empty())
+    return std::nullopt;
+  const auto &Voters = Members.Voters;
+  const auto IsGone = [&](const consensus::member &Voter) {
+    return Voter.Id != Self && isSilent(Voter.Id, Now);
+  };
+  const auto Silent = static_cast<std::size_t>(
+      std::count_if(Voters.begin(), Voters.end(), IsGone));
+  const std::size_t Heard = Voters.size() - Silent;
+  const auto QuorumOf = [](std::size_t Listed) { return Listed / 2 + 1; };
+  // Losses borne: those heard beyond the quorum of those listed.
+  const std::size_t BorneWithout = Heard - QuorumOf(Heard);
+  const std::size_t BorneNow = Heard - std::min(Heard, QuorumOf(Voters.size()));
+  if (Silent == 0 || BorneWithout <= BorneNow)
+    return std::nullopt;
+  const auto Gone = std::find_if(Voters.begin(), Voters.end(), IsGone);
+  return voter_change{voter_change::kind::Remove, Gone->Id};
+}
+
 } // namespace fulmar::controlnode
--- a/modules/controlnode/tests/cluster_tests.cpp
+++ b/modules/controlnode/tests/cluster_tests.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr auto CallLimit = std::chrono::seconds(5);
+/// Short, for the tests' sake, yet longer than a newcomer takes to be added.
+constexpr auto DeadVoterLimit = std::chrono::seconds(3);
 
 /// Instances of one process on one loop; each may be stopped and started.
 class test_cluster {
@@ -46,7 +48,8 @@
                              .DataFolder =
                                  Folder + "/" + std::to_string(Number),
                              .Bootstrap = Bootstrap,
-                             .Seeds = {address(0), address(1), address(2)}},
+                             .Seeds = {address(0), address(1), address(2)},
+                             .DeadVoterLimit = DeadVoterLimit},
         Metrics);
     CHECK_TRUE(Node->start().has_value());
   }
@@ -187,6 +190,30 @@
   CHECK_TRUE(Cluster.put(3, 9));
 }
 
+TEST(ControlCluster, aReplacedVoterLosesItsPlaceAndGetsOneBack) {
+  form();
+  Cluster.stop(2);
+  Cluster.start(3, false);
+  const auto ListedAt = [this](int Number, int Other) {
+    const auto Voters = Cluster.node(Other).status().Members.Voters;
+    return std::any_of(Voters.begin(), Voters.end(),
+                       [Number](const consensus::member &Voter) {
+                         return Voter.Id == test_cluster::address(Number);
+                       });
+  };
+  CHECK_TRUE(Cluster.runUntil(
+      [&] { return ListedAt(3, 0) && !ListedAt(2, 0) && ListedAt(3, 3); }));
+  // The replacement counts: a further loss is borne.
+  Cluster.stop(1);
+  CHECK_TRUE(Cluster.put(3, 5));
+  Cluster.start(1, false);
+  // The one that was replaced still believes that it has a vote.
+  Cluster.start(2, false);
+  CHECK_TRUE(Cluster.runUntil([&] { return ListedAt(2, 0); }));
+  CHECK_TRUE(Cluster.put(2, 6));
+  STRCMP_EQUAL("6", Cluster.read(3).c_str());
+}
+
 TEST(ControlCluster, handsLeadershipOver) {
   form();
   int Leader = -1;
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -140,3 +140,41 @@
   Members.Formed = false;
   CHECK_FALSE(Keeper.onJoinRequest("d", Members, "a", at(1'000)).has_value());
 }
+
+TEST(Voters, aSilentVoterBesideItsReplacementIsRemoved) {
+  Members.Voters.push_back({"d", "1"});
+  for (const char *Id : {"b", "d"})
+    Keeper.heard(Id, at(9'000));
+  // Three of four must agree and only three are heard: no loss is borne.
+  const auto Change = Keeper.surplusVoter(Members, "a", at(9'000));
+  CHECK_TRUE(Change == (voter_change{voter_change::kind::Remove, "c"}));
+  CHECK_FALSE(Keeper.surplusVoter(Members, "a", at(7'000)).has_value());
+}
+
+TEST(Voters, noVoterIsRemovedWhereThatBearsNoFurtherLoss) {
+  const auto Removes = [](std::size_t Listed, std::size_t Heard) {
+    consensus::configuration All{.Formed = true};
+    voter_keeper Fresh;
+    Fresh.becomeLeader(at(0));
+    for (std::size_t Number = 0; Number < Listed; ++Number) {
+      All.Voters.push_back({std::to_string(Number), "1"});
+      if (Number < Heard)
+        Fresh.heard(std::to_string(Number), at(60'000));
+    }
+    return Fresh.surplusVoter(All, "0", at(60'000)).has_value();
+  };
+  CHECK_FALSE(Removes(3, 3));
+  CHECK_FALSE(Removes(3, 2));
+  CHECK_FALSE(Removes(3, 1));
+  CHECK_FALSE(Removes(5, 4));
+  CHECK_TRUE(Removes(4, 3));
+  CHECK_TRUE(Removes(5, 3));
+}
+
+TEST(Voters, aChangeThatGoesOnIsNotCrossed) {
+  Members.Voters.push_back({"d", "1"});
+  Members.Learners.push_back({"e", "1"});
+  for (const char *Id : {"b", "d"})
+    Keeper.heard(Id, at(9'000));
+  CHECK_FALSE(Keeper.surplusVoter(Members, "a", at(9'000)).has_value());
+}
