Add fulmarctl explain: the story of one request from log files

Cause: the path from a failed request's id to its cause was a page of greps. The command reads the output of any number of processes, also with a prefix before the time, and prints how the request ended, each send with the load that decided it, what its entry believed then, resends of the same content, orders about its targets and how other requests fared there.

Ruled out: Poco's date parser for the time, which takes any text for a time.

--- a/programs/ctl/internal/commandtable.cpp
+++ b/programs/ctl/internal/commandtable.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Files of one call; a whole fleet's fit.
+constexpr std::size_t MaxLogFiles = 10'000;
+
 constexpr std::array Commands = {
     command_entry{"check", "FILE", "check a whole document; lists every fault",
                   1, 1, false, runCheck},
@@ -36,6 +39,9 @@
                   runMembers},
     command_entry{"voters", "add|remove ID", "change the voters, one at a time",
                   2, 2, true, runVoters},
+    command_entry{"explain", "REQUEST-ID LOG-FILE...",
+                  "tell from log files how a request ended and why", 2,
+                  MaxLogFiles + 1, false, runExplain},
 };
 
 const command_entry *findCommand(const std::string &Name) {
--- a/programs/ctl/internal/commandtable.h
+++ b/programs/ctl/internal/commandtable.h
@@ -43,6 +43,7 @@
 exit_code runStatus(invocation &Call);
 exit_code runMembers(invocation &Call);
 exit_code runVoters(invocation &Call);
+exit_code runExplain(invocation &Call);
 
 } // namespace fulmar::ctl
 
