Decode only what changed of the published items

Cause: each change that reached an entry copied the whole map of items and decoded the plan and every target anew.

Items are now merged in place and put back when the digest does not match; the decoder keeps what it has decoded by the serial of its item.

Before: 45,000 targets decoded for 300 that come one by one (by calculation: each change decoded all). PublishedItems.aRefusedChangeLeavesEverythingAsItWas holds.

--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -6,35 +6,19 @@
 
 #include "fulmar/controlstate/commands.h"
 #include "fulmar/eventloop/framelink.h"
-#include "fulmar/fleet/routingplan.h"
-#include "fulmar/fleet/targetreport.h"
 #include "fulmar/fleetlink/linkmessages.h"
+#include "fulmar/gateway/viewdecoder.h"
 #include "fulmar/publication/publisheditems.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace fulmar::gateway {
 
-/// The published items, decoded.
-struct fleet_view {
-  publication::serial Serial = 0;
-  /// Null until a plan is known.
-  std::shared_ptr<const fleet::routing_plan> Plan;
-  /// Targets that take new work: serving, and in a data centre that is in.
-  std::vector<fleet::target_report> Targets;
-  std::set<std::string> DataCentresOut;
-  /// Ids of all entries.
-  std::vector<std::string> Entries;
-  /// Fingerprints of requests that crash targets.
-  std::set<std::string> Quarantined;
-};
-
 struct fleet_feed_options {
   controlstate::member_report Self;
   /// Link addresses of the control instances known at the start.
@@ -72,13 +56,13 @@
   void tick();
   void announce();
   void sendAll(const fleetlink::link_message &Message);
-  void decode();
 
   eventloop::loop &Loop;
   fleet_feed_options Options;
   view_handler OnChange;
   std::map<std::string, control_link> Links;
   publication::published_items Items;
+  view_decoder Decoder;
   fleet_view View;
   bool Ready = false;
   /// Ask for everything, because changes did not fit.
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -4,9 +4,6 @@
 
 #include "fulmar/telemetry/log.h"
 
-#include <json/reader.h>
-#include <json/value.h>
-
 #include <memory>
 
 namespace fulmar::gateway {
@@ -20,20 +17,6 @@
 /// A question without an answer is asked again at any instance.
 constexpr auto FetchLimit = std::chrono::milliseconds(300);
 
-Json::Value parse(const std::string &Text) {
-  Json::Value Value;
-  std::string Faults;
-  const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Value, &Faults))
-    return {};
-  return Value;
-}
-
-std::string nameIn(const publication::item &Item, std::string_view Prefix) {
-  return Item.Key.substr(Prefix.size());
-}
-
 } // namespace
 
 fleet_feed::fleet_feed(eventloop::loop &OwningLoop, fleet_feed_options Chosen,
@@ -136,7 +119,7 @@
                          "changes-refused",
                          {{"error", Merged.error().Message}});
   if (Items.latest() != Before)
-    decode();
+    OnChange(View = Decoder.decode(Items));
   fetchIfBehind(false);
 }
 
@@ -167,35 +150,4 @@
   sendAll(fleetlink::crash_notice{Crash});
 }
 
-void fleet_feed::decode() {
-  fleet_view Next{.Serial = Items.latest(), .Plan = View.Plan};
-  if (const auto Plan = Items.value(publication::PlanKey)) {
-    auto Decoded = fleet::decodePlan(*Plan);
-    if (!Decoded)
-      telemetry::logChange(telemetry::log_level::Error, "feed",
-                           "plan-malformed",
-                           {{"error", Decoded.error().Message}});
-    // A plan never goes back while this process runs.
-    else if (!Next.Plan || Decoded.value().Version > Next.Plan->Version)
-      Next.Plan = std::make_shared<const fleet::routing_plan>(
-          std::move(Decoded).value());
-  }
-  for (const auto &Item : Items.withPrefix(publication::DataCentrePrefix)) {
-    if (parse(Item.Value)["state"].asString() == "out")
-      Next.DataCentresOut.insert(nameIn(Item, publication::DataCentrePrefix));
-  }
-  for (const auto &Item : Items.withPrefix(publication::TargetPrefix)) {
-    auto Target = fleet::decodeTarget(Item.Value);
-    if (Target && Target.value().Phase == fleet::target_phase::Serving &&
-        !Next.DataCentresOut.contains(Target.value().DataCentre))
-      Next.Targets.push_back(std::move(Target).value());
-  }
-  for (const auto &Item : Items.withPrefix(publication::MemberPrefix))
-    Next.Entries.push_back(nameIn(Item, publication::MemberPrefix));
-  for (const auto &Item : Items.withPrefix(publication::QuarantinePrefix))
-    Next.Quarantined.insert(nameIn(Item, publication::QuarantinePrefix));
-  View = std::move(Next);
-  OnChange(View);
-}
-
 } // namespace fulmar::gateway
--- /dev/null
+++ b/modules/gateway/tests/viewdecoder_tests.cpp
@@ -0,0 +1,85 @@
+// The view of an entry follows the published items, and costs only what
+// changed.
+
+#include "fulmar/gateway/viewdecoder.h"
+#include "fulmar/testing/property.h"
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+
+TEST_GROUP(ViewDecoder) {
+  publication::published_items Items;
+  publication::serial Serial = 0;
+  view_decoder Decoder;
+
+  void putTarget(const std::string &Id,
+                 fleet::target_phase Phase = fleet::target_phase::Serving) {
+    Items.put(publication::TargetPrefix + Id,
+              fleet::encodeTarget({.Id = Id,
+                                   .Service = "s",
+                                   .DataCentre = "pos",
+                                   .Address = "127.0.0.1:1",
+                                   .Phase = Phase}),
+              ++Serial);
+  }
+  void putPlan(std::uint64_t Version) {
+    Items.put(publication::PlanKey,
+              fleet::encodePlan(fleet::routing_plan{.Version = Version}),
+              ++Serial);
+  }
+  void putDataCentre(const std::string &State) {
+    Items.put(std::string(publication::DataCentrePrefix) + "pos",
+              "{\"state\":\"" + State + "\"}", ++Serial);
+  }
+};
+
+TEST(ViewDecoder, aChangeDecodesOnlyWhatChanged) {
+  constexpr std::size_t Targets = 300;
+  putPlan(1);
+  for (std::size_t Number = 0; Number < Targets; ++Number) {
+    putTarget("t" + std::to_string(Number));
+    LONGS_EQUAL(Number + 1, Decoder.decode(Items).Targets.size());
+  }
+  LONGS_EQUAL(Targets + 1, Decoder.decoded());
+}
+
+TEST(ViewDecoder, targetsFollowTheirItems) {
+  putTarget("a");
+  putTarget("b");
+  LONGS_EQUAL(2, Decoder.decode(Items).Targets.size());
+  putTarget("a", fleet::target_phase::Draining);
+  LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
+  putTarget("a");
+  LONGS_EQUAL(2, Decoder.decode(Items).Targets.size());
+  Items.put(std::string(publication::TargetPrefix) + "b", "", ++Serial);
+  LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
+  putTarget("b");
+  LONGS_EQUAL(2, Decoder.decode(Items).Targets.size());
+}
+
+TEST(ViewDecoder, anEmptiedDataCentreHidesItsTargets) {
+  putTarget("a");
+  putDataCentre("out");
+  LONGS_EQUAL(0, Decoder.decode(Items).Targets.size());
+  putDataCentre("in");
+  LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
+}
+
+TEST(ViewDecoder, thePlanNeverGoesBack) {
+  CHECK_TRUE(Decoder.decode(Items).Plan == nullptr);
+  putPlan(5);
+  LONGS_EQUAL(5, Decoder.decode(Items).Plan->Version);
+  putPlan(4);
+  LONGS_EQUAL(5, Decoder.decode(Items).Plan->Version);
+  putPlan(6);
+  LONGS_EQUAL(6, Decoder.decode(Items).Plan->Version);
+}
+
+TEST(ViewDecoder, aMalformedTargetIsLeftOut) {
+  putTarget("a");
+  Items.put(std::string(publication::TargetPrefix) + "b", "no msgpack",
+            ++Serial);
+  LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
+  LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
+  LONGS_EQUAL(2, Decoder.decoded());
+}
--- a/modules/publication/include/fulmar/publication/publisheditems.h
+++ b/modules/publication/include/fulmar/publication/publisheditems.h
@@ -82,7 +82,10 @@
 private:
   using item_map = std::map<std::string, item>;
 
-  void store(item Changed);
+  /// Returns what was held under the key; its key is empty if nothing was.
+  item store(item Changed);
+  /// Undoes a store() that returned \p Replaced.
+  void restore(const std::string &Key, item Replaced);
   void forgetOldRemovals();
 
   item_map Items;
--- a/modules/publication/internal/publisheditems.cpp
+++ b/modules/publication/internal/publisheditems.cpp
@@ -5,6 +5,7 @@
 #include "fulmar/base/rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace fulmar::publication {
 
@@ -40,7 +41,7 @@
   forgetOldRemovals();
 }
 
-void published_items::store(item Changed) {
+item published_items::store(item Changed) {
   item &Held = Items[Changed.Key];
   Digest -= digestOf(Held);
   Digest += digestOf(Changed);
@@ -48,7 +49,19 @@
     --Removals;
   if (Changed.Value.empty())
     ++Removals;
-  Held = std::move(Changed);
+  return std::exchange(Held, std::move(Changed));
+}
+
+void published_items::restore(const std::string &Key, item Replaced) {
+  if (!Replaced.Key.empty()) {
+    store(std::move(Replaced));
+    return;
+  }
+  const auto Held = Items.find(Key);
+  Digest -= digestOf(Held->second);
+  if (Held->second.Value.empty())
+    --Removals;
+  Items.erase(Held);
 }
 
 void published_items::forgetOldRemovals() {
@@ -113,14 +126,17 @@
     return base::fail(base::error_kind::Conflict,
                       "changes do not continue from serial " +
                           std::to_string(Latest));
-  published_items Copy = *this;
+  std::vector<item> Replaced;
   for (const item &Item : Changes.Items)
-    Copy.store(Item);
-  if (Copy.Digest != Changes.Digest)
+    Replaced.push_back(store(Item));
+  if (Digest != Changes.Digest) {
+    for (; !Replaced.empty(); Replaced.pop_back())
+      restore(Changes.Items[Replaced.size() - 1].Key,
+              std::move(Replaced.back()));
     return base::fail(base::error_kind::Conflict, "digest does not match");
-  Copy.Latest = Changes.Until;
-  Copy.forgetOldRemovals();
-  *this = std::move(Copy);
+  }
+  Latest = Changes.Until;
+  forgetOldRemovals();
   return base::success();
 }
 
--- a/modules/publication/tests/publisheditems_tests.cpp
+++ b/modules/publication/tests/publisheditems_tests.cpp
@@ -64,6 +64,35 @@
   CHECK(Holder.digest() == Source.digest());
 }
 
+TEST(PublishedItems, aRefusedChangeLeavesEverythingAsItWas) {
+  fulmar::testing::checkProperty("refused change", [] {
+    published_items Source;
+    published_items Holder;
+    const auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, 3)));
+    serial Serial = 0;
+    const auto Apply = [&Source, &Serial](const std::pair<int, int> &Step) {
+      Source.put("target/" + std::to_string(Step.first),
+                 Step.second == 0 ? "" : std::to_string(Step.second), ++Serial);
+    };
+    Source.put("plan", "p", ++Serial);
+    for (std::size_t Index = 0; Index < Steps.size() / 2; ++Index)
+      Apply(Steps[Index]);
+    RC_ASSERT(Holder.merge(Source.changesSince(0)).has_value());
+    const changes Before = Holder.changesSince(0);
+    for (std::size_t Index = Steps.size() / 2; Index < Steps.size(); ++Index)
+      Apply(Steps[Index]);
+    Source.put("plan", "q", ++Serial);
+    changes Damaged = Source.changesSince(Holder.latest());
+    ++Damaged.Digest;
+    RC_ASSERT(!Holder.merge(Damaged).has_value());
+    RC_ASSERT(Holder.changesSince(0) == Before);
+    --Damaged.Digest;
+    RC_ASSERT(Holder.merge(Damaged).has_value());
+    RC_ASSERT(Holder.changesSince(0) == Source.changesSince(0));
+  });
+}
+
 TEST(PublishedItems, olderChangesNeverRevert) {
   published_items Source;
   published_items Holder;
