Prefer a few of many targets

Cause: an entry looked at any target of its data centre.

An entry now prefers the ten targets of the lowest rank among those that are fit; ranks differ by entry and process, so that each target is preferred by some. The next ones in rank replace those that are away, cold or looked at already.

Ruled out: fixed subsets handed out by the control plane; they need a new message and go wrong when entries are lost.

Before: 100 targets drawn by one entry of 100. After: ten, and all of 100 by 120 entries (ServicePlacement.anEntryPrefersFewOfManyTargets).

--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -4,7 +4,9 @@
 // between two requests: a request looks at a few targets just before it is
 // sent, in its own data centre first, and takes the best. Targets that fail,
 // stall or answer slower than their peers lose their share and earn it back;
-// cold ones are used only where no warm one is left.
+// cold ones are used only where no warm one is left. Where a data centre has
+// hundreds of targets, an entry prefers a few of them, so that the connections
+// to them stay in use; which ones differs from entry to entry.
 
 #ifndef FULMAR_PLACEMENT_SERVICEPLACEMENT_H
 #define FULMAR_PLACEMENT_SERVICEPLACEMENT_H
@@ -33,6 +35,10 @@
   std::uint64_t Seed = 0;
 };
 
+/// Targets of a data centre that an entry prefers while they are fit: enough
+/// for several rounds of looks, few enough that their connections stay in use.
+inline constexpr std::size_t NearTargets = 10;
+
 /// Which targets a request may be given.
 struct candidate_query {
   /// Targets that the request has looked at or been sent to.
@@ -96,6 +102,8 @@
 private:
   struct target {
     fleet::target_report Report;
+    /// Lower ranks are nearer to this entry.
+    std::uint64_t Rank = 0;
     hidden_requests InFlight = 0;
     base::instant ColdUntil{};
     base::instant AwayUntil{};
@@ -109,6 +117,8 @@
 
   [[nodiscard]] standing standingOf(const std::string &Id, const target &Held,
                                     base::instant Now);
+  /// Orders targets of equal standing: the nearest first, drawn among those.
+  void arrange(std::vector<const target *> &Equals);
 
   placement_options Options;
   cold_limiter &Cold;
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -2,6 +2,8 @@
 
 #include "fulmar/placement/serviceplacement.h"
 
+#include "fulmar/base/rendezvous.h"
+
 #include <absl/random/distributions.h>
 
 #include <algorithm>
@@ -54,6 +56,7 @@
       Target.ColdUntil =
           Now + std::chrono::milliseconds(Report.ColdLeftMs) + ColdMargin;
     Target.Report = Report;
+    Target.Rank = base::digest(Report.Id, Options.Seed);
     if (!SameRun)
       Health.restarted(idOf(Report.Id));
     Next.emplace(Report.Id, std::move(Target));
@@ -76,11 +79,26 @@
   return Now < Held.ColdUntil ? standing::Cold : standing::Usable;
 }
 
+void service_placement::arrange(std::vector<const target *> &Equals) {
+  if (Equals.size() > NearTargets) {
+    const auto FirstFar =
+        Equals.begin() + static_cast<std::ptrdiff_t>(NearTargets);
+    std::nth_element(Equals.begin(), FirstFar, Equals.end(),
+                     [](const target *Left, const target *Right) {
+                       return Left->Rank < Right->Rank;
+                     });
+    std::shuffle(FirstFar, Equals.end(), Random);
+  }
+  const auto Near = std::min(NearTargets, Equals.size());
+  std::shuffle(Equals.begin(),
+               Equals.begin() + static_cast<std::ptrdiff_t>(Near), Random);
+}
+
 std::vector<std::string>
 service_placement::candidates(const candidate_query &Query, base::instant Now) {
   // In order of preference: own data centre, others, cold, away.
   constexpr std::size_t Classes = 4;
-  std::vector<std::string> ByClass[Classes];
+  std::vector<const target *> ByClass[Classes];
   for (const auto &[Id, Held] : Targets) {
     if (Query.Excluded.contains(Id))
       continue;
@@ -90,22 +108,25 @@
     const bool Permitted =
         Standing == standing::Cold && Cold.allows(Id, Options.WarmUpRate, Now);
     if (Standing == standing::Usable || (Permitted && Query.Anywhere))
-      ByClass[Local ? 0 : 1].push_back(Id);
+      ByClass[Local ? 0 : 1].push_back(&Held);
     else if (Standing == standing::Away)
-      ByClass[3].push_back(Id);
+      ByClass[3].push_back(&Held);
     else if (Permitted)
-      ByClass[2].push_back(Id);
+      ByClass[2].push_back(&Held);
   }
   std::vector<std::string> Chosen;
-  const bool Hinted = std::erase(ByClass[0], Query.Hint) > 0 ||
-                      std::erase(ByClass[1], Query.Hint) > 0;
+  const auto IsHinted = [&Query](const target *Held) {
+    return Held->Report.Id == Query.Hint;
+  };
+  const bool Hinted = std::erase_if(ByClass[0], IsHinted) > 0 ||
+                      std::erase_if(ByClass[1], IsHinted) > 0;
   if (Hinted)
     Chosen.push_back(Query.Hint);
   for (auto &Class : ByClass) {
-    std::shuffle(Class.begin(), Class.end(), Random);
-    for (std::string &Id : Class) {
+    arrange(Class);
+    for (const target *Held : Class) {
       if (Chosen.size() < Query.Count)
-        Chosen.push_back(std::move(Id));
+        Chosen.push_back(Held->Report.Id);
     }
     const bool Fills = &Class == &ByClass[0] && Query.FillAbroad;
     if (Chosen.size() >= Query.Count || (!Chosen.empty() && !Fills))
--- a/modules/placement/tests/serviceplacement_tests.cpp
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -29,6 +29,14 @@
 
 } // namespace
 
+namespace {
+
+std::set<std::string> asSet(const std::vector<std::string> &Ids) {
+  return {Ids.begin(), Ids.end()};
+}
+
+} // namespace
+
 TEST_GROUP(ServicePlacement) {
   cold_limiter Cold{"e"};
   service_placement Placement{{.DataCentre = "pos", .WarmUpRate = 2, .Seed = 1},
@@ -57,6 +65,35 @@
   CHECK_TRUE(contains(Placement.candidates(Query, at(1)), "far"));
 }
 
+TEST(ServicePlacement, anEntryPrefersFewOfManyTargets) {
+  std::vector<fleet::target_report> Many;
+  for (int Number = 0; Number < 100; ++Number)
+    Many.push_back(target("t" + std::to_string(Number), "pos"));
+  std::set<std::string> ByAny;
+  constexpr std::uint64_t Entries = 120;
+  for (std::uint64_t Seed = 0; Seed < Entries; ++Seed) {
+    service_placement Entry({.DataCentre = "pos", .Seed = Seed}, Cold);
+    Entry.setTargets(Many, at(0));
+    std::set<std::string> Preferred;
+    for (int Draw = 0; Draw < 200; ++Draw)
+      Preferred.merge(asSet(Entry.candidates({.Count = 2}, at(1))));
+    CHECK_EQUAL(NearTargets, Preferred.size());
+    // Those that a request has looked at are replaced by others.
+    const auto More =
+        Entry.candidates({.Excluded = Preferred, .Count = 4}, at(1));
+    CHECK_EQUAL(4U, More.size());
+    // One that is not reachable makes room for the next.
+    Entry.unreachable(*Preferred.begin(), at(1));
+    std::set<std::string> Later;
+    for (int Draw = 0; Draw < 200; ++Draw)
+      Later.merge(asSet(Entry.candidates({.Count = 2}, at(2))));
+    CHECK_EQUAL(NearTargets, Later.size());
+    CHECK_FALSE(Later.contains(*Preferred.begin()));
+    ByAny.merge(Preferred);
+  }
+  CHECK_EQUAL(Many.size(), ByAny.size());
+}
+
 TEST(ServicePlacement, anUnreachableTargetIsLeftAloneAndFoundAgain) {
   for (int Number = 0; Number < 10; ++Number)
     Placement.unreachable("near-1", at(0));
