Give requests without a route no fingerprint in the log

After: the field is empty, explain looks at the same content within 30 s only and shows 20 lines of a part at most (RequestStory.findsTheSameContentUnderOtherIds).

--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -151,7 +151,9 @@
        {"route", Route == nullptr ? "" : Route->Name},
        {"plan", Plan ? std::to_string(Plan->Version) : "none"},
        {"service", Service ? Service->Service.Name : ""},
-       {"fingerprint", routing::fingerprintText(Fingerprint)},
+       // Known from the route on.
+       {"fingerprint",
+        Fingerprint == 0 ? "" : routing::fingerprintText(Fingerprint)},
        {"status", std::to_string(Status)},
        {"cause", std::string(Reason)},
        {"sends", sendsText()},
--- a/programs/ctl/internal/explaincommand.cpp
+++ b/programs/ctl/internal/explaincommand.cpp
@@ -3,12 +3,16 @@
 #include "commandtable.h"
 #include "requeststory.h"
 
+#include <algorithm>
 #include <fstream>
 
 namespace fulmar::ctl {
 
 namespace {
 
+/// Lines of one part of the story; more hide the rest.
+constexpr std::size_t MaxLines = 20;
+
 /// Seconds of \p Line before (negative) or after \p End.
 std::string offsetText(const log_line &Line, const log_line &End) {
   constexpr std::int64_t MillisecondsPerSecond = 1000;
@@ -57,8 +61,12 @@
   if (Lines.empty())
     return;
   Out << Title << "\n";
-  for (const log_line &Line : Lines)
-    Out << "  " << offsetText(Line, End) << "  " << fieldsText(Line) << "\n";
+  const std::size_t Shown = std::min(MaxLines, Lines.size());
+  for (std::size_t Index = 0; Index < Shown; ++Index)
+    Out << "  " << offsetText(Lines[Index], End) << "  "
+        << fieldsText(Lines[Index]) << "\n";
+  if (Shown < Lines.size())
+    Out << "  and " << Lines.size() - Shown << " more\n";
 }
 
 void print(std::ostream &Out, const request_story &Story) {
--- a/programs/ctl/internal/requeststory.cpp
+++ b/programs/ctl/internal/requeststory.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t OrderWindowMs = 30'000;
 /// Faults of targets last some seconds at least.
 constexpr std::int64_t NeighbourWindowMs = 5'000;
+/// Callers give up within some tens of seconds; later the same content is
+/// another request.
+constexpr std::int64_t ResendWindowMs = 30'000;
 
 /// Events that replace what an instance believed before.
 constexpr std::array<std::string_view, 5> BeliefEvents = {
@@ -149,7 +152,8 @@
   const std::string &Fingerprint = Last.field("fingerprint");
   for (const log_line &Line : Lines) {
     if (!Fingerprint.empty() && Line.field("fingerprint") == Fingerprint &&
-        Line.field("request") != Id)
+        Line.field("request") != Id &&
+        std::abs(Line.TimeMs - Last.TimeMs) <= ResendWindowMs)
       Story.Resends.push_back(Line);
   }
   const auto Targets = targetsOf(Story.Sends);
--- a/programs/ctl/tests/explain_tests.cpp
+++ b/programs/ctl/tests/explain_tests.cpp
@@ -97,6 +97,25 @@
   LONGS_EQUAL(1, Story.AboutTargets.size());
 }
 
+TEST(RequestStory, findsTheSameContentUnderOtherIds) {
+  const auto End = [](const std::string &Seconds, const std::string &Id,
+                      const std::string &Fingerprint) {
+    return line(at(Seconds, "e1",
+                   "event=request-failed request=" + Id +
+                       " sends=\"\" fingerprint=" + Fingerprint));
+  };
+  const auto Resends = [&End](const std::string &Fingerprint) {
+    return storyOf("r1", {End("10.000", "r1", Fingerprint),
+                          End("11.000", "r2", Fingerprint),
+                          End("12.000", "r3", "other"),
+                          End("59.000", "r4", Fingerprint)})
+        .Resends.size();
+  };
+  LONGS_EQUAL(1, Resends("abc"));
+  // Requests without a route have none.
+  LONGS_EQUAL(0, Resends("\"\""));
+}
+
 TEST(RequestStory, isEmptyForAnUnknownRequest) {
   CHECK_TRUE(storyOf("r9", {line(ended("40.000", "e1", "r1", true, ""))})
                  .Ends.empty());
