Assume a time for requests of which none was seen

Cause: after a restart, and at sites with few requests an entry, the usual time of a route is not known, and 0 was taken for it. A third of the objective or the timeout is assumed now.

Ruled out: serving the newest first, which the users don't want.

The replay (anEntryThatHasJustStartedServesAsMuchOnTime): more than twice as many on time.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -259,9 +259,14 @@
 
 placement::admission_request exchange::admissionRequest() const {
   const base::instant Now = State.Loop.now();
-  return {.UsualTime = Times->Usual.estimate(),
-          .ToObjective =
-              FirstSentAt + std::chrono::milliseconds(Route->ObjectiveMs) - Now,
+  const std::chrono::milliseconds Objective(Route->ObjectiveMs);
+  const base::duration Learned = Times->Usual.estimate();
+  const base::duration Usual =
+      Learned.count() > 0
+          ? Learned
+          : placement::assumedTime(Objective, End - Request.ArrivedAt);
+  return {.UsualTime = Usual,
+          .ToObjective = FirstSentAt + Objective - Now,
           .ToEnd = End - Now};
 }
 
--- a/modules/placement/include/fulmar/placement/admission.h
+++ b/modules/placement/include/fulmar/placement/admission.h
@@ -25,8 +25,8 @@
 };
 
 struct admission_request {
-  /// Time that the request takes on an idle, undisturbed target; 0 when not
-  /// known yet.
+  /// Time that the request takes on an idle, undisturbed target, or
+  /// assumedTime().
   base::duration UsualTime{};
   /// Until the answer is worth less; not positive when it is late already.
   base::duration ToObjective{};
@@ -34,6 +34,11 @@
   base::duration ToEnd{};
 };
 
+/// What a request is taken to need before others like it were seen. Without it
+/// an entry that has just started serves a backlog first come, first served,
+/// each request a little too late.
+base::duration assumedTime(base::duration Objective, base::duration Timeout);
+
 /// \p Offer is empty when no target answered.
 send_decision decideSend(const std::optional<admission_offer> &Offer,
                          const admission_request &Request);
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -22,6 +22,9 @@
 constexpr double LateShare = 0.67;
 constexpr base::duration MinReturn = std::chrono::milliseconds(20);
 
+/// Objectives are commonly set at two to four times what a request takes.
+constexpr int ObjectiveDivisor = 3;
+
 base::duration scaled(base::duration Time, double Factor) {
   return base::duration(static_cast<base::duration::rep>(
       static_cast<double>(Time.count()) * Factor));
@@ -37,6 +40,10 @@
 
 } // namespace
 
+base::duration assumedTime(base::duration Objective, base::duration Timeout) {
+  return std::min(Objective, Timeout) / ObjectiveDivisor;
+}
+
 send_decision decideSend(const std::optional<admission_offer> &Offer,
                          const admission_request &Request) {
   // On time at best, if a target without any load came up now.
--- a/modules/placement/tests/admission_tests.cpp
+++ b/modules/placement/tests/admission_tests.cpp
@@ -55,6 +55,13 @@
   CHECK_TRUE(decideSend(offer(0), Short) == send_decision::Refuse);
 }
 
+TEST(Admission, anAssumedTimeFitsIntoObjectiveAndTimeout) {
+  CHECK_TRUE(assumedTime(milliseconds(600), milliseconds(3'000)) ==
+             milliseconds(200));
+  CHECK_TRUE(assumedTime(milliseconds(2'000), milliseconds(300)) ==
+             milliseconds(100));
+}
+
 TEST(Admission, refusedCallersComeBackApartAndWhileItHelps) {
   const base::duration First = returnAfter(Fresh, 0);
   const base::duration Last = returnAfter(Fresh, 0.99);
@@ -109,9 +116,11 @@
   int Refused = 0;
 };
 
+constexpr std::int64_t ObjectiveMs = 600;
+
 /// Twice what seven targets bear for six seconds, then a quarter of it.
-replay_result replay(bool WaitsAtEntry) {
-  constexpr std::int64_t ObjectiveMs = 600;
+replay_result replay(bool WaitsAtEntry,
+                     base::duration UsualTime = milliseconds(220)) {
   constexpr double WorkMs = 220;
   std::vector<model_target> Targets(7);
   std::deque<std::int64_t> Waiting;
@@ -135,7 +144,7 @@
                                      expectedTime(Right.offer().Load, 0);
                             });
       const admission_request Request{
-          .UsualTime = milliseconds(220),
+          .UsualTime = UsualTime,
           .ToObjective = milliseconds(Arrived + ObjectiveMs - Now),
           .ToEnd = milliseconds(Arrived + 4'000 - Now)};
       // Before: sent to the best target unless two rounds wait there.
@@ -163,6 +172,14 @@
   CHECK_TRUE(After.Late < Before.Late);
 }
 
+TEST(OverloadReplay, anEntryThatHasJustStartedServesAsMuchOnTime) {
+  const replay_result Before = replay(true, {});
+  const replay_result After =
+      replay(true, assumedTime(milliseconds(ObjectiveMs), milliseconds(4'000)));
+  CHECK_TRUE(After.OnTime >= 2 * Before.OnTime);
+  CHECK_TRUE(After.Late < Before.Late);
+}
+
 TEST_GROUP(RecentTimes){};
 
 TEST(RecentTimes, fewRecordsGiveAnEstimate) {
