Refuse the state of no offer explicitly before a send

The linter follows a path on which decideSend() without an offer says Send, which it never does. The condition now says so. gateway_tests passed.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -234,7 +234,7 @@
   AwaitsAnyLook = mayAwaitLooks(Decision);
   if (AwaitsAnyLook)
     return;
-  if (Short)
+  if (Short || Best == nullptr)
     return lookAgainLater(Decision);
   const std::string Target = Best->target();
   if (!Service->Placement.admit(Target, State.Loop.now())) {
