--- a/programs/ctl/internal/requeststory.cpp
+++ b/programs/ctl/internal/requeststory.cpp
@@ -61,6 +61,7 @@
     Last[{Link ? "control" : Event, Line.field("control")}] = &Line;
   }
   std::vector<log_line> Beliefs;
+  Beliefs.reserve(Last.size());
   for (const auto &[Key, Line] : Last)
     Beliefs.push_back(*Line);
   std::stable_sort(Beliefs.begin(), Beliefs.end(),
