Check a cold start that is known from a report by a look

Cause: an entry that starts is told of each target what it reported at its own start, its cold time included, however old that is. It took every such target for cold, left it to the one or two entries that may send to it, and refused requests while targets were idle.

Ruled out: the load (0.8 requests in flight at a target of two slots before the fault), a late election (leader 60 ms after the last control instance started).

Change: a target that is cold by a report only is looked at; the look tells. What a cold target gets is bounded as before. A request without looks left passes over targets that it may not be sent to instead of choosing again without end.

Test: ServicePlacement.aReportedColdStartIsCheckedByALook, failed before.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -159,18 +159,23 @@
 }
 
 /// Without a look: the target at which this entry has least to do.
-void exchange::sendUnseen(const std::vector<std::string> &Ids) {
-  const auto &Placement = Service->Placement;
-  const auto Least = std::min_element(
+void exchange::sendUnseen(std::vector<std::string> Ids) {
+  auto &Placement = Service->Placement;
+  std::stable_sort(
       Ids.begin(), Ids.end(), [&](const auto &Left, const auto &Right) {
         return Placement.inFlight(Left) < Placement.inFlight(Right);
       });
-  const fleet::target_report *Target = Placement.find(*Least);
-  const channel_ptr Channel = State.Pool.acquire(*Target);
-  Choosing = false;
-  if (!Channel || !Service->Placement.admit(*Least, State.Loop.now()))
-    return sendAgain();
-  send(*Least, Channel, {});
+  for (const std::string &Id : Ids) {
+    Seen.insert(Id);
+    if (!Placement.admit(Id, State.Loop.now()))
+      continue;
+    const channel_ptr Channel = State.Pool.acquire(*Placement.find(Id));
+    if (!Channel)
+      continue;
+    Choosing = false;
+    return send(Id, Channel, {});
+  }
+  decide();
 }
 
 void exchange::onLook() {
@@ -250,11 +255,6 @@
   dropLooks();
   Choosing = false;
   send(Target, Channel, Taken);
-  // Where one found room, the next may.
-  if (std::exchange(Polling, false)) {
-    if (const auto Next = Service->Waiters.takeFirst())
-      Next->targetFreed({});
-  }
 }
 
 placement::admission_request exchange::admissionRequest() const {
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -68,7 +68,7 @@
   bool admit();
   void startRound();
   void lookAt(const std::vector<std::string> &Ids);
-  void sendUnseen(const std::vector<std::string> &Ids);
+  void sendUnseen(std::vector<std::string> Ids);
   void onLook();
   [[nodiscard]] bool isLarge() const;
   [[nodiscard]] std::size_t maxRounds(bool Short) const;
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -92,6 +92,11 @@
         Self->onAnswer(Index, std::move(Result));
       });
   armHedge();
+  // Where one found room, the next may.
+  if (std::exchange(Polling, false)) {
+    if (const auto Next = Service->Waiters.takeFirst())
+      Next->targetFreed({});
+  }
 }
 
 void exchange::armHedge() {
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -106,6 +106,9 @@
     std::uint64_t Rank = 0;
     hidden_requests InFlight = 0;
     base::instant ColdUntil{};
+    /// ColdUntil comes from a report, whose age is not known: an entry that has
+    /// just started is told what each target reported at its own start.
+    bool ColdByReport = false;
     base::instant AwayUntil{};
     /// Looks that are under way, and when the first of them began.
     std::uint32_t Looks = 0;
@@ -117,6 +120,10 @@
 
   [[nodiscard]] standing standingOf(const std::string &Id, const target &Held,
                                     base::instant Now);
+  /// A look would tell whether the target is still cold.
+  [[nodiscard]] bool mayBeWarm(const target &Held) const {
+    return Held.ColdByReport && tellsLoad();
+  }
   /// Orders targets of equal standing: the nearest first, drawn among those.
   void arrange(std::vector<const target *> &Equals);
 
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -52,9 +52,11 @@
     target Target = SameRun ? Held->second : target{};
     const bool News =
         !SameRun || Held->second.Report.ColdLeftMs != Report.ColdLeftMs;
-    if (News && Report.ColdLeftMs > 0)
+    if (News && Report.ColdLeftMs > 0) {
       Target.ColdUntil =
           Now + std::chrono::milliseconds(Report.ColdLeftMs) + ColdMargin;
+      Target.ColdByReport = true;
+    }
     Target.Report = Report;
     Target.Rank = base::digest(Report.Id, Options.Seed);
     if (!SameRun)
@@ -107,7 +109,9 @@
         Query.Anywhere || Held.Report.DataCentre == Options.DataCentre;
     const bool Permitted =
         Standing == standing::Cold && Cold.allows(Id, Options.WarmUpRate, Now);
-    if (Standing == standing::Usable || (Permitted && Query.Anywhere))
+    const bool Unchecked = Standing == standing::Cold && mayBeWarm(Held);
+    if (Standing == standing::Usable || Unchecked ||
+        (Permitted && Query.Anywhere))
       ByClass[Local ? 0 : 1].push_back(&Held);
     else if (Standing == standing::Away)
       ByClass[3].push_back(&Held);
@@ -154,6 +158,7 @@
     return;
   Found->second.Misses = 0;
   Found->second.AwayUntil = {};
+  Found->second.ColdByReport = false;
   Found->second.ColdUntil =
       Load.ColdLeft.count() > 0 ? Now + Load.ColdLeft : base::instant{};
   Silent = Load.Slots == 0 ? Silent + 1 : 0;
--- a/modules/placement/tests/serviceplacement_tests.cpp
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -134,6 +134,25 @@
   CHECK_FALSE(Placement.admit("near-1", at(2)));
 }
 
+// Load: an entry that restarts is told what each target reported when it
+// started, long ago. It must not leave the warm targets to a few entries.
+TEST(ServicePlacement, aReportedColdStartIsCheckedByALook) {
+  Cold.setEntries({"another"});
+  auto Started = target("near-1", "pos");
+  Started.ColdLeftMs = 3'000;
+  service_placement Restarted{
+      {.DataCentre = "pos", .WarmUpRate = 2, .Seed = 1}, Cold};
+  Restarted.setTargets({Started}, at(0));
+  CHECK_TRUE(contains(Restarted.candidates({}, at(1)), "near-1"));
+  CHECK_FALSE(Restarted.admit("near-1", at(1)));
+  Restarted.probed("near-1", {.Slots = 2}, at(2));
+  CHECK_TRUE(Restarted.admit("near-1", at(2)));
+  Restarted.probed("near-1", {.Slots = 2, .ColdLeft = milliseconds(900)},
+                   at(3));
+  CHECK_FALSE(contains(Restarted.candidates({}, at(4)), "near-1"));
+  CHECK_FALSE(Restarted.admit("near-1", at(4)));
+}
+
 TEST(ServicePlacement, aTargetThatFailsItsRequestsLosesItsShare) {
   for (int Number = 0; Number < 40; ++Number) {
     for (const char *Id : {"near-1", "near-2", "far"}) {
