--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -26,6 +26,8 @@
 struct control_node_options {
   /// IP:PORT of this instance's links; also its name in the log.
   std::string LinkAddress;
+  /// Where links are accepted if not there: behind a relay of addresses.
+  std::string LinkListen;
   std::string DataCentre;
   std::string DataFolder;
   /// The whole system starts for the first time.
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -72,8 +72,10 @@
   BOOST_OUTCOME_TRY(Opened, consensus::replicated_log::open(
                                 logOptions(Options), Files, State, Loop.now()));
   Log = std::move(Opened);
-  BOOST_OUTCOME_TRYV(Server.start(
-      Options.LinkAddress, [this](const link_ptr &Link) { accept(Link); }));
+  const std::string &Listen =
+      Options.LinkListen.empty() ? Options.LinkAddress : Options.LinkListen;
+  BOOST_OUTCOME_TRYV(
+      Server.start(Listen, [this](const link_ptr &Link) { accept(Link); }));
   addSeeds(Options.Seeds);
   Ticker.every(TickInterval, [this] { tick(); });
   Announcer.every(AnnounceInterval, [this] { announce(); });
