Name an entry again whose earlier connection ends late

Cause: a control instance takes an entry out of the directory when a connection to it ends. After a loss of power the entry is back and connected before its earlier connection times out; the late end hid the living entry until its next connection or change of readiness, which may never come. Found by reading.

Ruled out: asking whether another connection of the entry is open; the entry's regular message on the open one says the same and needs no search.

Test: Liveness.theLateEndOfAnEarlierConnectionHidesNobody, failed before.

--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -25,8 +25,11 @@
 
 void liveness_table::heardAgain(const std::string &Id, base::instant Now) {
   const auto Found = Entries.find(Id);
-  if (Found != Entries.end())
-    Found->second.At = Now;
+  if (Found == Entries.end())
+    return;
+  Found->second.At = Now;
+  // The connection that was lost may have been an earlier one.
+  Found->second.Connected = true;
 }
 
 void liveness_table::lostEntry(const std::string &Id) {
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -100,6 +100,17 @@
   CHECK_TRUE(Table.readyEntries(at(1'500)).empty());
 }
 
+// Load: machines lose power and are back before the connections that they had
+// are given up.
+TEST(Liveness, theLateEndOfAnEarlierConnectionHidesNobody) {
+  Table.heardEntry(notice(true), at(0));
+  // The restarted entry connects, then its earlier connection times out.
+  Table.heardEntry(notice(true), at(1'000));
+  Table.lostEntry("e");
+  Table.heardAgain("e", at(1'400));
+  CHECK_EQUAL(1U, Table.readyEntries(at(1'400)).size());
+}
+
 TEST(Liveness, anEntryJoinsOnceAndExpiresWhenSilent) {
   Table.becomeLeader(at(0));
   Table.heardEntry(notice(true), at(0));
