Tell entries of changed routes only, and take repeated answers as far as new

A plan was one item, so each change of one of a thousand routes sent all of them.

Tests: PublishedItems.aRepeatedAnswerIsTakenAsFarAsItIsNew, ViewDecoder.aChangedRouteIsAllThatIsDecodedOfAPlan, Targets.aPlanIsPublishedRouteByRoute, aPlanThatCantBeReadIsRefused. Tests that put an unreadable plan in force use a readable one now: only such a plan can be in force.

--- a/modules/controlnode/tests/cluster_tests.cpp
+++ b/modules/controlnode/tests/cluster_tests.cpp
@@ -76,7 +76,8 @@
     std::optional<bool> Succeeded;
     node(Number).propose(
         controlstate::plan_command{.Version = Version,
-                                   .Plan = "p",
+                                   .Plan =
+                                       fleet::encodePlan({.Version = Version}),
                                    .Document = std::to_string(Version)},
         CallLimit,
         [&Succeeded](const auto &Reply) { Succeeded = Reply.has_value(); });
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -15,6 +15,7 @@
 #include "fulmar/controlstate/replies.h"
 #include "fulmar/controlstate/targettable.h"
 #include "fulmar/document/controlpolicy.h"
+#include "fulmar/fleet/routingplan.h"
 #include "fulmar/publication/publisheditems.h"
 
 #include <cstdint>
@@ -97,6 +98,7 @@
   void publishMember(const std::string &Id);
   void publishQuarantines();
   void publishTarget(const std::string &Id);
+  void publishPlan(fleet::routing_plan Head);
 
   /// Hash of a team's token in force; empty when there is no such team.
   [[nodiscard]] std::string hashOf(const std::string &Team) const;
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -186,9 +186,12 @@
 }
 
 reply control_state::applyBody(const plan_command &Replacement) {
+  auto Decoded = fleet::decodePlan(Replacement.Plan);
+  if (!Decoded)
+    return failed_reply{Decoded.error()};
   const bool Changed = Plan.replace(Replacement);
   if (Changed)
-    Published.put(publication::PlanKey, Replacement.Plan, Index);
+    publishPlan(std::move(Decoded).value());
   return plan_reply{.Version = Plan.version(), .Changed = Changed};
 }
 
--- a/modules/controlstate/internal/publishing.cpp
+++ b/modules/controlstate/internal/publishing.cpp
@@ -6,6 +6,9 @@
 #include <json/value.h>
 #include <json/writer.h>
 
+#include <set>
+#include <utility>
+
 namespace fulmar::controlstate {
 
 namespace {
@@ -63,6 +66,22 @@
                 Present ? fleet::encodeTarget(*Held) : "", Index);
 }
 
+void control_state::publishPlan(fleet::routing_plan Head) {
+  const auto Routes = std::exchange(Head.Routes, {});
+  const std::string Prefix = publication::RoutePrefix;
+  std::set<std::string> Present;
+  for (const fleet::route &Route : Routes) {
+    const std::string Key = Prefix + Route.Host + Route.PathPrefix;
+    Present.insert(Key);
+    Published.put(Key, fleet::encodeRoute(Route), Index);
+  }
+  for (const publication::item &Item : Published.withPrefix(Prefix)) {
+    if (!Present.contains(Item.Key))
+      Published.put(Item.Key, "", Index);
+  }
+  Published.put(publication::PlanKey, fleet::encodePlan(Head), Index);
+}
+
 void control_state::publishQuarantines() {
   const std::string Prefix = publication::QuarantinePrefix;
   for (const publication::item &Item : Published.withPrefix(Prefix)) {
--- a/modules/controlstate/tests/targets_tests.cpp
+++ b/modules/controlstate/tests/targets_tests.cpp
@@ -25,6 +25,21 @@
 
 } // namespace
 
+namespace {
+
+plan_command planOf(std::uint64_t Version, const std::string &Document,
+                    const std::vector<std::string> &Paths = {}) {
+  fleet::routing_plan Plan{.Version = Version};
+  for (const std::string &Path : Paths)
+    Plan.Routes.push_back(
+        {.Name = Path, .Host = "h", .PathPrefix = Path, .TimeoutMs = 100});
+  return {.Version = Version,
+          .Plan = fleet::encodePlan(Plan),
+          .Document = Document};
+}
+
+} // namespace
+
 TEST_GROUP(Targets) {
   control_state State;
   consensus::log_index Next = 1;
@@ -92,8 +107,7 @@
 
 TEST(Targets, onlyAHigherPlanTakesForce) {
   const auto Put = [this](std::uint64_t Version, const std::string &Document) {
-    return std::get<plan_reply>(apply(plan_command{
-        .Version = Version, .Plan = "plan", .Document = Document}));
+    return std::get<plan_reply>(apply(planOf(Version, Document)));
   };
   CHECK_TRUE(Put(5, "five").Changed);
   CHECK_FALSE(Put(4, "four").Changed);
@@ -104,6 +118,25 @@
   STRCMP_EQUAL("nine", State.plan().held().Document.c_str());
 }
 
+TEST(Targets, aPlanThatCantBeReadIsRefused) {
+  const reply Reply = apply(
+      plan_command{.Version = 5, .Plan = "no msgpack", .Document = "five"});
+  CHECK_TRUE(std::holds_alternative<failed_reply>(Reply));
+  CHECK_EQUAL(0U, State.plan().version());
+}
+
+// Load: configurations in quick succession on slow links.
+TEST(Targets, aPlanIsPublishedRouteByRoute) {
+  apply(planOf(1, "one", {"/a/", "/b/", "/c/"}));
+  const auto Known = State.published().latest();
+  apply(planOf(2, "two", {"/a/", "/b/", "/d/"}));
+  // The plan itself, the new route, and the one that went.
+  const auto Changes = State.published().changesSince(Known);
+  CHECK_EQUAL(3U, Changes.Items.size());
+  CHECK_EQUAL(3U,
+              State.published().withPrefix(publication::RoutePrefix).size());
+}
+
 TEST(Targets, administratorsTakeDataCentresOutWithoutASection) {
   data_centre_command Leave{.Operation = "1",
                             .Name = "pos",
@@ -120,7 +153,7 @@
   changes(reportOf("t", 100, 3));
   changes(reportOf("gone", 90, 3));
   apply(target_left_command{.Id = "gone"});
-  apply(plan_command{.Version = 7, .Plan = "plan", .Document = "seven"});
+  apply(planOf(7, "seven", {"/a/"}));
   control_state Restored;
   CHECK_TRUE(Restored.restore(State.snapshot()).has_value());
   CHECK_TRUE(Restored.targets().all() == State.targets().all());
--- a/modules/fleet/include/fulmar/fleet/routingplan.h
+++ b/modules/fleet/include/fulmar/fleet/routingplan.h
@@ -96,6 +96,9 @@
 std::string encodePlan(const routing_plan &Plan);
 base::result<routing_plan> decodePlan(std::string_view Bytes);
 
+std::string encodeRoute(const route &Route);
+base::result<route> decodeRoute(std::string_view Bytes);
+
 } // namespace fulmar::fleet
 
 #endif // FULMAR_FLEET_ROUTINGPLAN_H
--- a/modules/fleet/internal/routingplan.cpp
+++ b/modules/fleet/internal/routingplan.cpp
@@ -77,4 +77,10 @@
   return claims::unpackValue<routing_plan>(Bytes);
 }
 
+std::string encodeRoute(const route &Route) { return claims::packValue(Route); }
+
+base::result<route> decodeRoute(std::string_view Bytes) {
+  return claims::unpackValue<route>(Bytes);
+}
+
 } // namespace fulmar::fleet
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -35,7 +35,6 @@
   void addSeeds(const std::vector<std::string> &Seeds);
   /// Tells the control instances whether callers may be sent here.
   void setReady(bool Ready);
-  void setStopping();
   void reportCrash(const controlstate::crash_command &Crash);
 
   [[nodiscard]] const fleet_view &view() const { return View; }
@@ -69,6 +68,10 @@
   bool WantsAll = false;
   base::instant FetchedAt{};
   bool Fetching = false;
+  /// The link on which the last question went out, and how many in a row were
+  /// not answered in time.
+  std::string AskedOf;
+  unsigned Unanswered = 0;
   eventloop::timer Ticker;
   eventloop::timer Announcer;
 };
--- a/modules/gateway/include/fulmar/gateway/viewdecoder.h
+++ b/modules/gateway/include/fulmar/gateway/viewdecoder.h
@@ -37,23 +37,31 @@
   /// The view of \p Items. The plan never goes back from one call to the next.
   fleet_view decode(const publication::published_items &Items);
 
-  /// Targets and plans that were decoded so far.
+  /// Targets, routes and plans that were decoded so far.
   [[nodiscard]] std::size_t decoded() const { return Decoded; }
 
 private:
-  struct decoded_target {
+  /// An item's value; empty when it is malformed.
+  template <typename Value> struct decoded_item {
     publication::serial Serial = 0;
-    /// Empty when the item is malformed.
-    std::optional<fleet::target_report> Report;
+    std::optional<Value> Content;
   };
+  /// Decoded items by key; those of items that are gone are dropped at the
+  /// next decode().
+  template <typename Value>
+  using decoded_items = std::map<std::string, decoded_item<Value>>;
 
   void decodePlan(const publication::published_items &Items);
-  const decoded_target &target(const publication::item &Item);
+  /// Decodes those of the items with \p Prefix that have changed.
+  template <typename Value>
+  void follow(decoded_items<Value> &Held,
+              const publication::published_items &Items, const char *Prefix,
+              base::result<Value> (*Decode)(std::string_view));
 
   publication::serial PlanSerial = 0;
   std::shared_ptr<const fleet::routing_plan> Plan;
-  /// By key; those of items that are gone are dropped at the next decode().
-  std::map<std::string, decoded_target> Targets;
+  decoded_items<fleet::route> Routes;
+  decoded_items<fleet::target_report> Targets;
   std::size_t Decoded = 0;
 };
 
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -4,6 +4,7 @@
 
 #include "fulmar/telemetry/log.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace fulmar::gateway {
@@ -14,8 +15,11 @@
 /// callers.
 constexpr auto AnnounceInterval = std::chrono::milliseconds(400);
 constexpr auto TickInterval = std::chrono::milliseconds(100);
-/// A question without an answer is asked again at any instance.
-constexpr auto FetchLimit = std::chrono::milliseconds(300);
+/// A question without an answer is asked again at any instance. Doubled by each
+/// one that went unanswered: over a slow link a full copy takes a second, and
+/// each further question would bring another one.
+constexpr base::duration FetchLimit = std::chrono::milliseconds(300);
+constexpr unsigned MaxFetchDoublings = 3;
 
 } // namespace
 
@@ -54,6 +58,9 @@
                 telemetry::logChange(telemetry::log_level::Warning, "feed",
                                      "control-lost", {{"control", Address}});
                 Links[Address].Latest = 0;
+                // What was asked of it does not come any more.
+                if (AskedOf == Address)
+                  Fetching = false;
               }});
 }
 
@@ -90,20 +97,27 @@
 }
 
 void fleet_feed::fetchIfBehind(bool FromAnywhere) {
-  if (Fetching && Loop.now() - FetchedAt < FetchLimit)
+  const base::duration Limit =
+      FetchLimit * (1U << std::min(Unanswered, MaxFetchDoublings));
+  if (Fetching && Loop.now() - FetchedAt < Limit)
     return;
   const publication::serial Known = Items.latest();
   control_link *Best = nullptr;
+  const std::string *From = nullptr;
   for (auto &[Address, Link] : Links) {
     const bool Local = Link.DataCentre == Options.Self.DataCentre;
     if (Link.Dialer->connected() && (Link.Latest > Known || WantsAll) &&
         (Local || FromAnywhere || Known == 0) &&
-        (Best == nullptr || Link.Latest > Best->Latest))
+        (Best == nullptr || Link.Latest > Best->Latest)) {
       Best = &Link;
+      From = &Address;
+    }
   }
   if (Best == nullptr)
     return;
+  Unanswered = Fetching ? Unanswered + 1 : 0;
   Fetching = true;
+  AskedOf = *From;
   FetchedAt = Loop.now();
   Best->Dialer->send(
       fleetlink::encodeLink(fleetlink::fetch_request{WantsAll ? 0 : Known}));
@@ -140,11 +154,6 @@
     announce();
 }
 
-void fleet_feed::setStopping() {
-  Options.Self.Stopping = true;
-  announce();
-}
-
 void fleet_feed::reportCrash(const controlstate::crash_command &Crash) {
   // Any one instance passes it on; the state ignores repetitions.
   sendAll(fleetlink::crash_notice{Crash});
--- a/modules/gateway/internal/viewdecoder.cpp
+++ b/modules/gateway/internal/viewdecoder.cpp
@@ -27,34 +27,52 @@
 
 } // namespace
 
+template <typename Value>
+void view_decoder::follow(decoded_items<Value> &Held,
+                          const publication::published_items &Items,
+                          const char *Prefix,
+                          base::result<Value> (*Decode)(std::string_view)) {
+  std::set<std::string> Present;
+  for (const publication::item &Item : Items.withPrefix(Prefix)) {
+    Present.insert(Item.Key);
+    decoded_item<Value> &Known = Held[Item.Key];
+    if (Known.Serial == Item.Serial)
+      continue;
+    ++Decoded;
+    Known = {.Serial = Item.Serial};
+    if (auto Read = Decode(Item.Value))
+      Known.Content = std::move(Read).value();
+    else
+      telemetry::logChange(
+          telemetry::log_level::Error, "feed", "item-malformed",
+          {{"item", Item.Key}, {"error", Read.error().Message}});
+  }
+  std::erase_if(Held, [&Present](const auto &Entry) {
+    return !Present.contains(Entry.first);
+  });
+}
+
 void view_decoder::decodePlan(const publication::published_items &Items) {
   const publication::item *Item = Items.find(publication::PlanKey);
+  // Each change of a route comes with a new version of the plan.
   if (Item == nullptr || Item->Serial == PlanSerial)
     return;
   PlanSerial = Item->Serial;
   ++Decoded;
   auto Read = fleet::decodePlan(Item->Value);
-  if (!Read)
+  if (!Read) {
     telemetry::logChange(telemetry::log_level::Error, "feed", "plan-malformed",
                          {{"error", Read.error().Message}});
-  else if (!Plan || Read.value().Version > Plan->Version)
-    Plan = std::make_shared<const fleet::routing_plan>(std::move(Read).value());
-}
-
-const view_decoder::decoded_target &
-view_decoder::target(const publication::item &Item) {
-  decoded_target &Held = Targets[Item.Key];
-  if (Held.Serial == Item.Serial)
-    return Held;
-  ++Decoded;
-  Held = {.Serial = Item.Serial};
-  if (auto Report = fleet::decodeTarget(Item.Value))
-    Held.Report = std::move(Report).value();
-  else
-    telemetry::logChange(
-        telemetry::log_level::Error, "feed", "target-malformed",
-        {{"item", Item.Key}, {"error", Report.error().Message}});
-  return Held;
+    return;
+  }
+  follow(Routes, Items, publication::RoutePrefix, &fleet::decodeRoute);
+  if (Plan && Read.value().Version <= Plan->Version)
+    return;
+  for (const auto &[Key, Route] : Routes) {
+    if (Route.Content)
+      Read.value().Routes.push_back(*Route.Content);
+  }
+  Plan = std::make_shared<const fleet::routing_plan>(std::move(Read).value());
 }
 
 fleet_view view_decoder::decode(const publication::published_items &Items) {
@@ -64,17 +82,13 @@
     if (parse(Item.Value)["state"].asString() == "out")
       View.DataCentresOut.insert(nameIn(Item, publication::DataCentrePrefix));
   }
-  std::set<std::string> Present;
-  for (const auto &Item : Items.withPrefix(publication::TargetPrefix)) {
-    Present.insert(Item.Key);
-    const auto &Report = target(Item).Report;
+  follow(Targets, Items, publication::TargetPrefix, &fleet::decodeTarget);
+  for (const auto &[Key, Target] : Targets) {
+    const auto &Report = Target.Content;
     if (Report && Report->Phase == fleet::target_phase::Serving &&
         !View.DataCentresOut.contains(Report->DataCentre))
       View.Targets.push_back(*Report);
   }
-  std::erase_if(Targets, [&Present](const auto &Entry) {
-    return !Present.contains(Entry.first);
-  });
   for (const auto &Item : Items.withPrefix(publication::MemberPrefix))
     View.Entries.push_back(nameIn(Item, publication::MemberPrefix));
   for (const auto &Item : Items.withPrefix(publication::QuarantinePrefix))
--- a/modules/gateway/tests/viewdecoder_tests.cpp
+++ b/modules/gateway/tests/viewdecoder_tests.cpp
@@ -75,6 +75,35 @@
   LONGS_EQUAL(6, Decoder.decode(Items).Plan->Version);
 }
 
+// Load: configurations of a thousand routes in quick succession, each of which
+// changes one of them.
+TEST(ViewDecoder, aChangedRouteIsAllThatIsDecodedOfAPlan) {
+  constexpr std::size_t Routes = 1'000;
+  const auto PutRoute = [this](std::size_t Number, std::int64_t TimeoutMs) {
+    const std::string Path = "/r" + std::to_string(Number) + "/";
+    Items.put(publication::RoutePrefix + std::string("h") + Path,
+              fleet::encodeRoute({.Name = "r" + std::to_string(Number),
+                                  .Host = "h",
+                                  .PathPrefix = Path,
+                                  .TimeoutMs = TimeoutMs}),
+              ++Serial);
+  };
+  for (std::size_t Number = 0; Number < Routes; ++Number)
+    PutRoute(Number, 100);
+  putPlan(1);
+  LONGS_EQUAL(Routes, Decoder.decode(Items).Plan->Routes.size());
+  const std::size_t Before = Decoder.decoded();
+  PutRoute(7, 200);
+  putPlan(2);
+  const auto Plan = Decoder.decode(Items).Plan;
+  LONGS_EQUAL(Before + 2, Decoder.decoded());
+  LONGS_EQUAL(2, Plan->Version);
+  LONGS_EQUAL(Routes, Plan->Routes.size());
+  Items.put(publication::RoutePrefix + std::string("h/r3/"), "", ++Serial);
+  putPlan(3);
+  LONGS_EQUAL(Routes - 1, Decoder.decode(Items).Plan->Routes.size());
+}
+
 TEST(ViewDecoder, aMalformedTargetIsLeftOut) {
   putTarget("a");
   Items.put(std::string(publication::TargetPrefix) + "b", "no msgpack",
--- a/modules/placement/tests/serviceplacement_tests.cpp
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -140,8 +140,8 @@
   Cold.setEntries({"another"});
   auto Started = target("near-1", "pos");
   Started.ColdLeftMs = 3'000;
-  service_placement Restarted{
-      {.DataCentre = "pos", .WarmUpRate = 2, .Seed = 1}, Cold};
+  service_placement Restarted{{.DataCentre = "pos", .WarmUpRate = 2, .Seed = 1},
+                              Cold};
   Restarted.setTargets({Started}, at(0));
   CHECK_TRUE(contains(Restarted.candidates({}, at(1)), "near-1"));
   CHECK_FALSE(Restarted.admit("near-1", at(1)));
--- a/modules/publication/include/fulmar/publication/publisheditems.h
+++ b/modules/publication/include/fulmar/publication/publisheditems.h
@@ -30,8 +30,11 @@
 inline constexpr const char *QuarantinePrefix = "quarantine/";
 /// A fleet::target_report.
 inline constexpr const char *TargetPrefix = "target/";
-/// Whole key of the fleet::routing_plan in force.
+/// Whole key of the fleet::routing_plan in force, without its routes.
 inline constexpr const char *PlanKey = "plan";
+/// A fleet::route of that plan, by host and path: a plan that changes one of
+/// its routes is told to the entries as that route.
+inline constexpr const char *RoutePrefix = "plan-route/";
 
 struct item {
   std::string Key;
@@ -45,7 +48,7 @@
 
 /// What one holder passes to another.
 struct changes {
-  /// The receiver must hold exactly this serial, or 0 for a full copy.
+  /// The receiver must hold this serial or a later one; 0 for a full copy.
   serial Since = 0;
   serial Until = 0;
   /// Digest of all items at Until.
--- a/modules/publication/internal/publisheditems.cpp
+++ b/modules/publication/internal/publisheditems.cpp
@@ -113,7 +113,8 @@
 }
 
 base::result<void> published_items::merge(const changes &Changes) {
-  if (Changes.Until < Latest)
+  const bool Held = Changes.Until == Latest && Changes.Digest == Digest;
+  if (Changes.Until < Latest || Held)
     return base::success();
   if (Changes.Since == 0) {
     if (digestOf(Changes.Items) != Changes.Digest)
@@ -126,17 +127,19 @@
     *this = std::move(Copy);
     return base::success();
   }
-  if (Changes.Since != Latest)
+  if (Changes.Since > Latest)
     return base::fail(base::error_kind::Conflict,
                       "changes do not continue from serial " +
                           std::to_string(Latest));
-  std::vector<item> Replaced;
-  for (const item &Item : Changes.Items)
-    Replaced.push_back(store(Item));
+  // An answer to an earlier question repeats what is held by now.
+  std::vector<std::pair<std::string, item>> Replaced;
+  for (const item &Item : Changes.Items) {
+    if (Item.Serial > Latest)
+      Replaced.emplace_back(Item.Key, store(Item));
+  }
   if (Digest != Changes.Digest) {
     for (; !Replaced.empty(); Replaced.pop_back())
-      restore(Changes.Items[Replaced.size() - 1].Key,
-              std::move(Replaced.back()));
+      restore(Replaced.back().first, std::move(Replaced.back().second));
     return base::fail(base::error_kind::Conflict, "digest does not match");
   }
   Latest = Changes.Until;
--- a/modules/publication/tests/publisheditems_tests.cpp
+++ b/modules/publication/tests/publisheditems_tests.cpp
@@ -104,6 +104,24 @@
   STRCMP_EQUAL("2", Holder.value("section/a")->c_str());
 }
 
+// Load: on a slow link an answer takes longer than the wait for it, so that the
+// question was sent twice. The second answer must not lead to a full copy.
+TEST(PublishedItems, aRepeatedAnswerIsTakenAsFarAsItIsNew) {
+  published_items Source;
+  published_items Holder;
+  Source.put("section/a", "1", 1);
+  CHECK(Holder.merge(Source.changesSince(0)).has_value());
+  Source.put("section/b", "2", 2);
+  const changes First = Source.changesSince(1);
+  Source.put("section/b", "3", 3);
+  Source.put("section/a", "", 4);
+  const changes Second = Source.changesSince(1);
+  CHECK(Holder.merge(First).has_value());
+  CHECK(Holder.merge(Second).has_value());
+  CHECK(Holder.merge(Second).has_value());
+  CHECK(Holder.changesSince(0) == Source.changesSince(0));
+}
+
 TEST(PublishedItems, jsonRoundTrip) {
   published_items Source;
   Source.put("section/a", "{\"x\":1}", 7);
