Leave a target alone that failed a request

Cause: targets that fail a part of their requests at once, in good health, look idle and are chosen by one entry after the other; an entry sees too little of each target to judge by an error rate.

Ruled out: telling failures between entries (a message an entry and failure, for what each learns by one request); counting refusals that say "not run" (full targets send them, too).

Change: after a failed run, or a broken connection under a request, the entry leaves the target alone for 2 s, doubled by each further failure, at most a quarter of a service's targets at a time.

--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -148,8 +148,10 @@
   LastFailure = Result.error();
   const bool Untouched = Result.error().Kind == base::error_kind::Unreachable;
   MayHaveRun = MayHaveRun || !Untouched;
-  if (!Untouched)
+  if (!Untouched) {
     noteBreak(Attempts[Index].Target);
+    Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
+  }
   endAttempt(Index, attempt_quality::Break);
   if (Untouched)
     Service->Placement.unreachable(Attempts[Index].Target, State.Loop.now());
@@ -193,6 +195,8 @@
   }
   MayHaveRun = true;
   const bool ServerError = Answer.Status >= FirstServerError;
+  if (ServerError || Success)
+    Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
   endAttempt(Index, attempt_quality::Error);
   LastFailure = {base::error_kind::OutcomeUnknown,
                  "target answered " + std::to_string(Answer.Status)};
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -87,6 +87,11 @@
   void ended(const std::string &Target, routing::attempt_quality Quality,
              base::duration Elapsed, base::instant Now);
 
+  /// The target failed a request that it had run, or broke it off. Entries see
+  /// too little of each target to wait for an error rate: one failure is far
+  /// more likely of a faulty target, and those that fail at once look idle.
+  void failed(const std::string &Target, base::instant Now);
+
   /// Requests of this entry at the target.
   [[nodiscard]] hidden_requests inFlight(const std::string &Target) const;
   /// Null for a target that takes no new work.
@@ -115,6 +120,9 @@
     base::instant LookingSince{};
     /// Looks in a row that found nobody.
     std::uint32_t Misses = 0;
+    /// Failed requests, halved by each one that ends well.
+    std::uint32_t Failures = 0;
+    base::instant FaultyUntil{};
   };
   enum class standing : std::uint8_t { Usable, Cold, Away };
 
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -17,6 +17,12 @@
 /// Longest pause: a target that returns is found within two seconds.
 constexpr base::duration LongestPause = std::chrono::milliseconds(1'600);
 constexpr std::uint32_t MaxDoublings = 3;
+/// Pause after a failed request; doubled by each further failure. Faults of
+/// targets last for seconds.
+constexpr base::duration FailurePause = std::chrono::seconds(2);
+/// Part of the targets that may pause for failures: beyond that, requests that
+/// any target would fail are the likelier cause.
+constexpr double MaxFaultyShare = 0.25;
 /// A report that tells of a cold start may have been on its way this long.
 constexpr base::duration ColdMargin = std::chrono::milliseconds(100);
 
@@ -71,7 +77,7 @@
 service_placement::standing service_placement::standingOf(const std::string &Id,
                                                           const target &Held,
                                                           base::instant Now) {
-  if (Now < Held.AwayUntil ||
+  if (Now < Held.AwayUntil || Now < Held.FaultyUntil ||
       (Held.Looks > 0 && Now - Held.LookingSince >= LookLimit))
     return standing::Away;
   const routing::target_health *Judged = Health.healthOf(idOf(Id));
@@ -206,8 +212,26 @@
   if (Found->second.InFlight > 0)
     --Found->second.InFlight;
   Health.record(idOf(Target), Quality, Elapsed, Now);
-  if (Quality == routing::attempt_quality::Good)
-    Times.record(Elapsed);
+  if (Quality != routing::attempt_quality::Good)
+    return;
+  Times.record(Elapsed);
+  Found->second.Failures /= 2;
+}
+
+void service_placement::failed(const std::string &Target, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end())
+    return;
+  const auto Pausing =
+      std::count_if(Targets.begin(), Targets.end(), [Now](const auto &Entry) {
+        return Now < Entry.second.FaultyUntil;
+      });
+  const double Most = MaxFaultyShare * static_cast<double>(Targets.size());
+  if (static_cast<double>(Pausing) + 1 > Most)
+    return;
+  const std::uint32_t Doublings =
+      std::min(MaxDoublings, Found->second.Failures++);
+  Found->second.FaultyUntil = Now + FailurePause * (1U << Doublings);
 }
 
 hidden_requests service_placement::inFlight(const std::string &Target) const {
--- a/modules/placement/tests/serviceplacement_tests.cpp
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -153,6 +153,41 @@
   CHECK_FALSE(Restarted.admit("near-1", at(4)));
 }
 
+// Load: a tenth of the targets fail a part of their requests at once, with good
+// health; each entry meets each of them every few seconds.
+TEST(ServicePlacement, aTargetThatFailedARequestIsLeftAloneForAWhile) {
+  std::vector<fleet::target_report> Many;
+  for (int Number = 0; Number < 8; ++Number)
+    Many.push_back(target("t" + std::to_string(Number), "pos"));
+  Placement.setTargets(Many, at(0));
+  const candidate_query All{.Count = 8, .FillAbroad = false};
+  Placement.failed("t0", at(0));
+  CHECK_FALSE(contains(Placement.candidates(All, at(1'900)), "t0"));
+  CHECK_TRUE(contains(Placement.candidates(All, at(2'100)), "t0"));
+  // Longer the next time, unless a request has ended well in between.
+  Placement.failed("t0", at(2'100));
+  CHECK_FALSE(contains(Placement.candidates(All, at(6'000)), "t0"));
+  CHECK_TRUE(contains(Placement.candidates(All, at(6'200)), "t0"));
+  for (int Number = 0; Number < 2; ++Number)
+    Placement.ended("t0", routing::attempt_quality::Good, milliseconds(10),
+                    at(6'200));
+  Placement.failed("t0", at(6'200));
+  CHECK_TRUE(contains(Placement.candidates(All, at(8'300)), "t0"));
+}
+
+// Load: a request that every target fails is sent again and again.
+TEST(ServicePlacement, failuresEverywhereLeaveMostTargetsInUse) {
+  std::vector<fleet::target_report> Many;
+  for (int Number = 0; Number < 8; ++Number)
+    Many.push_back(target("t" + std::to_string(Number), "pos"));
+  Placement.setTargets(Many, at(0));
+  for (const auto &Target : Many)
+    Placement.failed(Target.Id, at(0));
+  CHECK_EQUAL(
+      6U,
+      Placement.candidates({.Count = 8, .FillAbroad = false}, at(1)).size());
+}
+
 TEST(ServicePlacement, aTargetThatFailsItsRequestsLosesItsShare) {
   for (int Number = 0; Number < 40; ++Number) {
     for (const char *Id : {"near-1", "near-2", "far"}) {
