Let an unexpected error end a connection, not the process

Cause: no handler of the event loop was guarded, so that an exception on one message (a frame, an operator's call, a caller's bytes) ended the whole process with all its requests. Acceptors that ran out of descriptors tried again at once, without end. Ruled out: guarding the control instance's whole loop too, since a command that was half applied must not be built upon. Shown by Links.anErrorInAHandlerEndsOnlyItsConnection and Links.anErrorOnAFrameEndsOnlyItsLink: before, the exception left the loop; after, 10 of 10 tests of eventloop pass.

--- a/modules/eventloop/include/fulmar/eventloop/framelink.h
+++ b/modules/eventloop/include/fulmar/eventloop/framelink.h
@@ -61,7 +61,8 @@
 public:
   using accept_handler = std::function<void(std::shared_ptr<frame_link>)>;
 
-  explicit frame_server(loop &OwningLoop) : Loop(OwningLoop) {}
+  explicit frame_server(loop &OwningLoop)
+      : Loop(OwningLoop), AcceptRetry(Loop) {}
   ~frame_server();
   frame_server(const frame_server &) = delete;
   frame_server &operator=(const frame_server &) = delete;
@@ -72,6 +73,7 @@
   void accept();
 
   loop &Loop;
+  timer AcceptRetry;
   std::shared_ptr<tcp::acceptor> Acceptor;
   accept_handler OnAccept;
 };
--- a/modules/eventloop/include/fulmar/eventloop/httpserver.h
+++ b/modules/eventloop/include/fulmar/eventloop/httpserver.h
@@ -61,6 +61,7 @@
   /// Shared with the connections, which may outlive the server.
   std::shared_ptr<const http_handler> Handler;
   std::unique_ptr<tcp::acceptor> Acceptor;
+  timer AcceptRetry;
 };
 
 } // namespace fulmar::eventloop
--- a/modules/eventloop/include/fulmar/eventloop/loop.h
+++ b/modules/eventloop/include/fulmar/eventloop/loop.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace fulmar::eventloop {
 
@@ -24,8 +25,11 @@
 /// One thread runs all handlers; nothing here is thread-safe.
 class loop {
 public:
-  /// Runs until stop().
+  /// Runs until stop(). An exception of a handler ends it.
   void run() { Context.run(); }
+  /// Like run(), but logs exceptions of handlers and goes on: for programs
+  /// whose handlers share no state that one of them could leave half changed.
+  void runGuarded();
   void stop() { Context.stop(); }
 
   [[nodiscard]] base::instant now() const { return Clock.now(); }
@@ -59,9 +63,17 @@
   std::shared_ptr<bool> Armed;
 };
 
+/// Calls \p Work; logs an exception and returns false. For what comes from
+/// outside, at the border where only its own connection need end.
+bool guarded(std::string_view Component, const std::function<void()> &Work);
+
 /// Parses IP:PORT.
 base::result<tcp::endpoint> parseEndpoint(const std::string &Address);
 
+/// Pause after a connection could not be accepted: descriptors have run out,
+/// and trying again at once would only spin.
+inline constexpr base::duration AcceptPause = std::chrono::milliseconds(50);
+
 /// TCP_NODELAY, and a limit after which unacknowledged data or an idle peer
 /// that does not answer ends the connection.
 void tuneSocket(tcp::socket &Socket);
--- a/modules/eventloop/internal/framelink.cpp
+++ b/modules/eventloop/internal/framelink.cpp
@@ -66,8 +66,9 @@
     if (Rest.size() < HeadBytes + Size)
       break;
     Taken += HeadBytes + Size;
-    if (Handler)
-      Handler(Rest.substr(HeadBytes, Size));
+    const std::string_view Frame = Rest.substr(HeadBytes, Size);
+    if (Handler && !guarded("link", [&] { Handler(Frame); }))
+      return fail();
   }
   Received.erase(0, Taken);
 }
@@ -133,8 +134,9 @@
     // The server may be gone, also where a connection came just before.
     if (Failed == asio::error::operation_aborted || Mine.expired())
       return;
-    if (!Failed)
-      OnAccept(std::make_shared<frame_link>(Loop, std::move(Socket)));
+    if (Failed)
+      return AcceptRetry.after(AcceptPause, [this] { accept(); });
+    OnAccept(std::make_shared<frame_link>(Loop, std::move(Socket)));
     accept();
   });
 }
--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace fulmar::eventloop {
 
@@ -46,6 +47,7 @@
 
 private:
   void onRead(error_code Failed) {
+    Answered = false;
     if (Failed == http::error::body_limit)
       return answer({.Status = 413, .Body = "{\"error\":\"body too large\"}"},
                     false);
@@ -62,13 +64,20 @@
     http_request Request{.Method = std::string(Message.method_string()),
                          .Target = std::string(Message.target()),
                          .Body = std::move(Message.body())};
-    (*Handler)(std::move(Request),
-               [Self = shared_from_this(), Keep](http_answer Answer) {
-                 Self->answer(std::move(Answer), Keep);
-               });
+    const bool Handled = guarded("http", [&] {
+      (*Handler)(std::move(Request),
+                 [Self = shared_from_this(), Keep](http_answer Answer) {
+                   Self->answer(std::move(Answer), Keep);
+                 });
+    });
+    if (!Handled && !Answered)
+      answer({.Status = 500, .Body = "{\"error\":\"internal error\"}"}, false);
   }
 
   void answer(http_answer Answer, bool Keep) {
+    // A handler that failed may have kept the responder.
+    if (std::exchange(Answered, true))
+      return;
     http::response<http::string_body> Message(
         static_cast<http::status>(Answer.Status), 11);
     Message.set(http::field::content_type, Answer.ContentType);
@@ -99,6 +108,7 @@
   std::shared_ptr<const http_handler> Handler;
   timer Idle;
   beast::flat_buffer Buffer;
+  bool Answered = false;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::unique_ptr<http::response<http::string_body>> Outgoing;
 };
@@ -108,7 +118,8 @@
 http_server::http_server(loop &OwningLoop, http_server_options Chosen,
                          http_handler Called)
     : Loop(OwningLoop), Options(std::move(Chosen)),
-      Handler(std::make_shared<const http_handler>(std::move(Called))) {}
+      Handler(std::make_shared<const http_handler>(std::move(Called))),
+      AcceptRetry(Loop) {}
 
 base::result<void> http_server::start() {
   BOOST_OUTCOME_TRY(Listening, listenOn(Loop, Options.Address));
@@ -127,10 +138,10 @@
   Acceptor->async_accept([this](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
       return;
-    if (!Failed)
-      std::make_shared<http_connection>(Loop, std::move(Socket), Options,
-                                        Handler)
-          ->read();
+    if (Failed)
+      return AcceptRetry.after(AcceptPause, [this] { accept(); });
+    std::make_shared<http_connection>(Loop, std::move(Socket), Options, Handler)
+        ->read();
     accept();
   });
 }
--- a/modules/eventloop/internal/loop.cpp
+++ b/modules/eventloop/internal/loop.cpp
@@ -2,12 +2,15 @@
 
 #include "fulmar/eventloop/loop.h"
 
+#include "fulmar/telemetry/log.h"
+
 #include <boost/asio/post.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <charconv>
+#include <exception>
 
 namespace fulmar::eventloop {
 
@@ -31,6 +34,22 @@
 
 } // namespace
 
+bool guarded(std::string_view Component, const std::function<void()> &Work) {
+  try {
+    Work();
+    return true;
+  } catch (const std::exception &Thrown) {
+    telemetry::logChange(telemetry::log_level::Error, Component,
+                         "unexpected-error", {{"error", Thrown.what()}});
+    return false;
+  }
+}
+
+void loop::runGuarded() {
+  while (!guarded("loop", [this] { Context.run(); })) {
+  }
+}
+
 void loop::post(std::function<void()> Work) {
   asio::post(Context, std::move(Work));
 }
--- a/modules/eventloop/tests/links_tests.cpp
+++ b/modules/eventloop/tests/links_tests.cpp
@@ -197,3 +197,49 @@
                                         std::string(20'000, 'x') + "\r\n\r\n")
                       .c_str());
 }
+
+TEST(Links, anErrorInAHandlerEndsOnlyItsConnection) {
+  loop Loop;
+  int Calls = 0;
+  http_server Server(Loop, {.Address = HttpAddress},
+                     [&Calls](const http_request &, const http_responder &To) {
+                       if (++Calls == 1)
+                         throw std::runtime_error("unexpected");
+                       To({.Body = "fine"});
+                     });
+  CHECK_TRUE(Server.start().has_value());
+  const std::string Asked = "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n";
+  STRCMP_CONTAINS("HTTP/1.1 500", exchangeRaw(Loop, Asked).c_str());
+  STRCMP_CONTAINS("fine", exchangeRaw(Loop, Asked).c_str());
+}
+
+TEST(Links, anErrorOnAFrameEndsOnlyItsLink) {
+  loop Loop;
+  frame_server Server(Loop);
+  std::vector<std::shared_ptr<frame_link>> Accepted;
+  int Frames = 0;
+  int Lost = 0;
+  CHECK_TRUE(Server
+                 .start(LinkAddress,
+                        [&](std::shared_ptr<frame_link> Link) {
+                          Accepted.push_back(Link);
+                          Link->start(
+                              [&Frames](std::string_view Frame) {
+                                if (Frame == "bad")
+                                  throw std::runtime_error("unexpected");
+                                ++Frames;
+                              },
+                              [&Lost] { ++Lost; });
+                        })
+                 .has_value());
+  frame_dialer Dialer(Loop, {.Address = LinkAddress}, {});
+  CHECK_TRUE(runUntil(Loop, [&] { return Dialer.connected(); }));
+  Dialer.send("bad");
+  CHECK_TRUE(runUntil(Loop, [&] { return Lost == 1; }));
+  CHECK_TRUE(runUntil(Loop, [&] { return Accepted.size() == 2; }));
+  CHECK_TRUE(runUntil(Loop, [&] {
+    Dialer.send("good");
+    return Frames > 0;
+  }));
+  Accepted.back()->close();
+}
