--- a/modules/gateway/include/fulmar/gateway/dialect.h
+++ b/modules/gateway/include/fulmar/gateway/dialect.h
@@ -24,6 +24,8 @@
   std::string Load;
   /// Answer: the target did not run the request.
   std::string NotRun;
+  /// Answer: the target is about to leave and wants no new work.
+  std::string Leaving;
   /// Answer to a probe: id of the target.
   std::string TargetId;
   /// Answer to a probe: milliseconds for which the target stays cold.
--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -14,9 +14,11 @@
 } // namespace
 
 channel_pool::channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
-                           telemetry::metrics &Registry)
+                           telemetry::metrics &Registry, held_bytes &Memory,
+                           target_channel::observer Watching)
     : Loop(OwningLoop), Dialect(Names),
-      Opened(Registry.counterOf("fulmar_target_connections_opened_total")) {}
+      Opened(Registry.counterOf("fulmar_target_connections_opened_total")),
+      Held(Memory), Watcher(std::move(Watching)) {}
 
 std::string channel_pool::keyOf(const fleet::target_report &Target) {
   return Target.Id + "/" + std::to_string(Target.StartedAtMs) + "/" +
@@ -25,10 +27,10 @@
 
 channel_ptr channel_pool::acquire(const fleet::target_report &Target) {
   const std::string Key = keyOf(Target);
-  auto &Held = Idle[Key];
-  while (!Held.empty()) {
-    channel_ptr Channel = Held.back();
-    Held.pop_back();
+  auto &Kept = Idle[Key];
+  while (!Kept.empty()) {
+    channel_ptr Channel = Kept.back();
+    Kept.pop_back();
     const bool Fresh = Loop.now() - Channel->idleSince() < Channel->idleLimit();
     if (Channel->reusable() && Fresh)
       return Channel;
@@ -38,7 +40,8 @@
   if (!Endpoint)
     return nullptr;
   Opened.add();
-  return std::make_shared<target_channel>(Loop, Key, Endpoint.value(), Dialect);
+  return std::make_shared<target_channel>(Loop, Key, Endpoint.value(), Dialect,
+                                          Held, Watcher);
 }
 
 void channel_pool::release(const channel_ptr &Channel) {
@@ -50,18 +53,18 @@
 std::vector<channel_ptr> channel_pool::sweep() {
   const base::instant Now = Loop.now();
   std::vector<channel_ptr> Stale;
-  for (auto &[Key, Held] : Idle) {
+  for (auto &[Key, Kept] : Idle) {
     const auto IsStale = [Now](const channel_ptr &Channel) {
       return Now - Channel->idleSince() + RefreshMargin >= Channel->idleLimit();
     };
     std::erase_if(
-        Held, [](const channel_ptr &Channel) { return !Channel->reusable(); });
-    const bool AllStale = std::all_of(Held.begin(), Held.end(), IsStale);
-    if (AllStale && !Held.empty()) {
-      Stale.push_back(Held.back());
-      Held.pop_back();
+        Kept, [](const channel_ptr &Channel) { return !Channel->reusable(); });
+    const bool AllStale = std::all_of(Kept.begin(), Kept.end(), IsStale);
+    if (AllStale && !Kept.empty()) {
+      Stale.push_back(Kept.back());
+      Kept.pop_back();
     }
-    std::erase_if(Held, [&IsStale](const channel_ptr &Channel) {
+    std::erase_if(Kept, [&IsStale](const channel_ptr &Channel) {
       if (IsStale(Channel))
         Channel->close();
       return IsStale(Channel);
--- a/modules/gateway/internal/channelpool.h
+++ b/modules/gateway/internal/channelpool.h
@@ -19,8 +19,10 @@
 
 class channel_pool {
 public:
+  /// \p Watching sees each answer of a target.
   channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
-               telemetry::metrics &Registry);
+               telemetry::metrics &Registry, held_bytes &Memory,
+               target_channel::observer Watching);
 
   /// An idle connection to this run of the target, or a new one; null for an
   /// address that can't be read.
@@ -35,11 +37,17 @@
 
   /// Names one run of a target at its address.
   static std::string keyOf(const fleet::target_report &Target);
+  /// The target's id in what keyOf() returned.
+  static std::string targetIn(const std::string &Key) {
+    return Key.substr(0, Key.find('/'));
+  }
 
 private:
   eventloop::loop &Loop;
   const dialect &Dialect;
   telemetry::counter &Opened;
+  held_bytes &Held;
+  target_channel::observer Watcher;
   /// The most recently used last.
   std::map<std::string, std::vector<channel_ptr>> Idle;
 };
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -275,15 +275,32 @@
   Seen.clear();
   Round = 0;
   Polling = false;
-  const bool Waits = Decision == placement::send_decision::Wait &&
-                     !anyRunning() && State.Loop.now() + FullPause < End;
+  const bool Waits =
+      Decision == placement::send_decision::Wait && !anyRunning() && mayWait();
   if (Waits)
     return wait();
   Choosing = false;
+  if (anyRunning())
+    return hedgeLater();
   if (Attempts.empty())
-    LastFailure = {base::error_kind::Saturated, "no target has room"};
-  if (!anyRunning())
-    giveUp();
+    LastFailure =
+        closedFor() == base::duration()
+            ? base::error{base::error_kind::Saturated, "no target has room"}
+            : base::error{base::error_kind::NoTarget, "no target takes work"};
+  giveUp();
+}
+
+std::optional<base::duration> exchange::closedFor() const {
+  const base::instant Now = State.Loop.now();
+  const auto Opens = Service->Placement.opensAt(Now);
+  return Opens ? std::optional(*Opens - Now) : std::nullopt;
+}
+
+bool exchange::mayWait() const {
+  const auto Closed = closedFor();
+  const placement::admission_request Needs = admissionRequest();
+  return Closed && *Closed + Needs.UsualTime < Needs.ToObjective &&
+         State.Loop.now() + FullPause < End;
 }
 
 waiter_key exchange::waiterKey() const {
@@ -330,6 +347,13 @@
 }
 
 void exchange::onTimeout() {
+  if (Streaming)
+    return endStream(attempt_quality::Error, "the answer took too long");
+  for (const attempt &Attempt : Attempts) {
+    // It hung, or dropped the request without a word.
+    if (Attempt.Running)
+      Service->Placement.failed(Attempt.Target, State.Loop.now());
+  }
   if (anyRunning()) {
     MayHaveRun = true;
     LastFailure = {base::error_kind::TargetTimeout,
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
   std::string Body;
   /// For an answer to HEAD: the length that GET would have.
   std::string ContentLength;
+  /// False: Body is a first part, the exchange has the rest.
+  bool Whole = true;
 };
 
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -44,6 +47,9 @@
 
   /// Calls \p Done once, now or later, unless cancelled.
   void start(handler Done);
+  /// After an answer that is not whole: the next part of it, or the error that
+  /// ended it. Not called after cancel().
+  void readPiece(target_channel::piece_handler Done);
   /// The caller has gone: work at targets is cancelled.
   void cancel();
   /// While it waits: a slot at \p Target has become free.
@@ -84,12 +90,19 @@
   /// Looks at one target for a request that has waited.
   void poll(const std::string &First);
   void lookAgainLater(placement::send_decision Decision);
+  /// How long no target of the service takes work; empty where none is known
+  /// to take any again.
+  [[nodiscard]] std::optional<base::duration> closedFor() const;
+  /// A target takes work early enough for an answer in time.
+  [[nodiscard]] bool mayWait() const;
   [[nodiscard]] look *best() const;
   void send(const std::string &Target, const channel_ptr &Channel,
             const placement::admission_offer &Offer);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
   void armHedge();
   void hedge();
+  /// A second run could not be begun now; it may help later.
+  void hedgeLater();
   void onAnswer(std::size_t Index, base::result<target_answer> Result);
   void noteBreak(const std::string &Target);
   void onWhole(std::size_t Index, target_answer Answer);
@@ -99,13 +112,23 @@
   [[nodiscard]] bool anyRunning() const;
   void onTimeout();
 
+  /// The answer of the attempt \p Index is the caller's.
+  void deliver(std::size_t Index, target_answer Answer);
   void deliver(target_answer Answer);
+  static front_answer frontAnswer(target_answer Answer);
+  void beginStream(std::size_t Index, target_answer Answer);
+  void endStream(routing::attempt_quality Quality, std::string_view Why);
   void fail(const base::error &Error);
+  /// When a refused caller should come back, from now.
+  [[nodiscard]] base::duration returnTime() const;
   void giveUp();
   void finish(front_answer Answer);
+  void record(unsigned Status);
   void endWork();
   void dropLooks();
-  void dropAttempts(routing::attempt_quality Quality);
+  /// All that run, but for \p Kept.
+  void dropAttempts(routing::attempt_quality Quality,
+                    std::optional<std::size_t> Kept = std::nullopt);
   void log(unsigned Status, std::string_view Cause) const;
   [[nodiscard]] std::string sendsText() const;
 
@@ -148,6 +171,10 @@
   base::error LastFailure{base::error_kind::NoTarget, "no target"};
   /// A target's own failure, in case nothing better comes.
   std::unique_ptr<target_answer> OwnFailure;
+  /// The attempt whose answer is being passed on piece by piece.
+  std::optional<std::size_t> Streaming;
+  unsigned StreamStatus = 0;
+  target_channel::piece_handler OnPiece;
 
   eventloop::timer Overall;
   eventloop::timer RoundTimer;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -29,10 +29,22 @@
 
 } // namespace
 
+void exchange::deliver(std::size_t Index, target_answer Answer) {
+  if (!Answer.Whole)
+    return beginStream(Index, std::move(Answer));
+  endAttempt(Index, attempt_quality::Good);
+  deliver(std::move(Answer));
+}
+
 void exchange::deliver(target_answer Answer) {
+  finish(frontAnswer(std::move(Answer)));
+}
+
+front_answer exchange::frontAnswer(target_answer Answer) {
   front_answer Out{.Status = Answer.Status,
                    .Reason = std::move(Answer.Reason),
-                   .Body = std::move(Answer.Body)};
+                   .Body = std::move(Answer.Body),
+                   .Whole = Answer.Whole};
   for (const auto &Field : Answer.Fields) {
     const std::string_view Name(Field.name_string().data(),
                                 Field.name_string().size());
@@ -42,7 +54,53 @@
     else if (!isHopByHop(Answer.Fields, Name))
       appendHeader(Out.Headers, Name, Value);
   }
-  finish(std::move(Out));
+  return Out;
+}
+
+/// From here on the answer is this target's, whatever comes.
+void exchange::beginStream(std::size_t Index, target_answer Answer) {
+  Streaming = Index;
+  StreamStatus = Answer.Status;
+  dropLooks();
+  dropAttempts(attempt_quality::Cancelled, Index);
+  RoundTimer.cancel();
+  HedgeTimer.cancel();
+  Choosing = false;
+  stopWaiting();
+  const handler Done = OnDone;
+  Done(frontAnswer(std::move(Answer)));
+}
+
+void exchange::readPiece(target_channel::piece_handler Done) {
+  OnPiece = std::move(Done);
+  if (!Streaming)
+    return;
+  Attempts[*Streaming].Channel->readPiece(
+      [Self = shared_from_this()](base::result<answer_piece> Piece) {
+        if (!Piece)
+          return Self->endStream(attempt_quality::Break, Piece.error().Message);
+        if (Piece.value().Last)
+          Self->endStream(attempt_quality::Good, "");
+        if (const auto Called = std::exchange(Self->OnPiece, {}))
+          Called(std::move(Piece));
+      });
+}
+
+void exchange::endStream(attempt_quality Quality, std::string_view Why) {
+  const std::size_t Index = *std::exchange(Streaming, std::nullopt);
+  if (Quality != attempt_quality::Good) {
+    Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
+    Attempts[Index].Channel->close();
+  }
+  endAttempt(Index, Quality);
+  endWork();
+  Cause = Why;
+  record(StreamStatus);
+  OnDone = {};
+  if (Quality == attempt_quality::Good)
+    return;
+  if (const auto Called = std::exchange(OnPiece, {}))
+    Called(base::fail(base::error_kind::TruncatedAnswer, std::string(Why)));
 }
 
 /// Answers in place of a target. A status that promises that nothing was run
@@ -55,17 +113,21 @@
   if (!RequestId.empty())
     appendHeader(Out.Headers, State.Options.Dialect.RequestId, RequestId);
   if (Out.Status == StatusUnavailable) {
-    const base::duration Return =
-        Times == nullptr
-            ? base::duration(UnroutedReturn)
-            : placement::returnAfter(admissionRequest(),
-                                     absl::Uniform(State.Random, 0.0, 1.0));
-    appendHeader(Out.Headers, "Retry-After", secondsText(Return));
+    appendHeader(Out.Headers, "Retry-After", secondsText(returnTime()));
   }
   Cause = Error.Message;
   finish(std::move(Out));
 }
 
+base::duration exchange::returnTime() const {
+  if (Times == nullptr)
+    return UnroutedReturn;
+  const double Spread = absl::Uniform(State.Random, 0.0, 1.0);
+  return placement::returnAfterClosure(
+      Service ? closedFor().value_or(base::duration()) : base::duration(),
+      admissionRequest(), Spread);
+}
+
 void exchange::giveUp() {
   if (OwnFailure && !anyRunning())
     return deliver(std::move(*OwnFailure));
@@ -92,22 +154,28 @@
 
 void exchange::finish(front_answer Answer) {
   endWork();
-  log(Answer.Status, Cause);
+  record(Answer.Status);
+  const handler Done = std::exchange(OnDone, {});
+  if (Done)
+    Done(std::move(Answer));
+}
+
+void exchange::record(unsigned Status) {
+  log(Status, Cause);
   const base::duration Elapsed = State.Loop.now() - Request.ArrivedAt;
   State.Metrics.latencyOf("fulmar_request_seconds").record(Elapsed);
   State.Metrics
       .counterOf("fulmar_requests_total",
-                 "status=\"" + std::to_string(Answer.Status) + "\"")
+                 "status=\"" + std::to_string(Status) + "\"")
       .add();
-  const handler Done = std::exchange(OnDone, {});
-  if (Done)
-    Done(std::move(Answer));
 }
 
 void exchange::cancel() {
   if (!OnDone)
     return;
   OnDone = {};
+  OnPiece = {};
+  Streaming.reset();
   endWork();
   log(0, "the caller has gone");
   State.Metrics.counterOf("fulmar_requests_abandoned_total").add();
@@ -119,9 +187,11 @@
   Looks.clear();
 }
 
-void exchange::dropAttempts(attempt_quality Quality) {
-  for (attempt &Attempt : Attempts) {
-    if (!Attempt.Running)
+void exchange::dropAttempts(attempt_quality Quality,
+                            std::optional<std::size_t> Kept) {
+  for (std::size_t Index = 0; Index < Attempts.size(); ++Index) {
+    attempt &Attempt = Attempts[Index];
+    if (!Attempt.Running || Kept == Index)
       continue;
     Attempt.Running = false;
     if (Attempt.Channel)
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -12,6 +12,8 @@
 
 /// With less time left, a request is not sent again.
 constexpr base::duration MinTimeToSend = std::chrono::milliseconds(20);
+/// Pause before a second run that found no room is tried again.
+constexpr base::duration HedgePause = std::chrono::milliseconds(30);
 /// Part of the objective after which a second target is asked.
 constexpr double HedgeShare = 0.55;
 
@@ -111,15 +113,26 @@
 }
 
 void exchange::hedge() {
+  if (Choosing || !anyRunning())
+    return;
   // While the service is short of room, a second run only takes some away.
-  if (Choosing || !anyRunning() || !Service->Waiters.empty() ||
+  if (!Service->Waiters.empty() ||
       !Service->Retries.available(State.Loop.now()))
-    return;
+    return hedgeLater();
   Round = 0;
   Seen.clear();
   startRound();
 }
 
+void exchange::hedgeLater() {
+  const base::duration Needed =
+      std::max<base::duration>(admissionRequest().UsualTime, MinTimeToSend);
+  if (!Idempotent || Attempts.size() >= Route->Attempts ||
+      State.Loop.now() + HedgePause + Needed >= End)
+    return;
+  HedgeTimer.after(HedgePause, [Self = shared_from_this()] { Self->hedge(); });
+}
+
 bool exchange::anyRunning() const {
   return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const attempt &Attempt) { return Attempt.Running; });
@@ -141,7 +154,7 @@
 }
 
 void exchange::onAnswer(std::size_t Index, base::result<target_answer> Result) {
-  if (!OnDone)
+  if (!OnDone || Streaming)
     return;
   if (Result)
     return onWhole(Index, std::move(Result).value());
@@ -190,8 +203,7 @@
                               Attempts[Index].ExpectedFactor));
     State.Crashes.answered(base::target_id(Attempts[Index].Target), Fingerprint,
                            State.Loop.now());
-    endAttempt(Index, attempt_quality::Good);
-    return deliver(std::move(Answer));
+    return deliver(Index, std::move(Answer));
   }
   MayHaveRun = true;
   const bool ServerError = Answer.Status >= FirstServerError;
@@ -201,9 +213,10 @@
   LastFailure = {base::error_kind::OutcomeUnknown,
                  "target answered " + std::to_string(Answer.Status)};
   if (Signed && !Success) {
-    if (!ServerError)
+    if (!ServerError && Answer.Whole)
       return deliver(std::move(Answer));
-    OwnFailure = std::make_unique<target_answer>(std::move(Answer));
+    if (Answer.Whole)
+      OwnFailure = std::make_unique<target_answer>(std::move(Answer));
   }
   sendAgain();
 }
--- a/modules/gateway/internal/frontsession.cpp
+++ b/modules/gateway/internal/frontsession.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace fulmar::gateway {
 
@@ -18,13 +19,25 @@
 /// is already on its way.
 constexpr base::duration StopIdle = std::chrono::milliseconds(300);
 
+constexpr const char *LastChunk = "0\r\n\r\n";
+
+/// \p Bytes as one chunk; nothing for no bytes, which would end the body.
+std::string chunkOf(const std::string &Bytes) {
+  if (Bytes.empty())
+    return {};
+  std::ostringstream Size;
+  Size << std::hex << Bytes.size();
+  return Size.str() + "\r\n" + Bytes + "\r\n";
+}
+
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
 } // namespace
 
 front_session::front_session(gateway_state &Owner, tcp::socket Accepted)
-    : State(Owner), Socket(std::move(Accepted)), WaitSince(Owner.Loop.now()) {
+    : State(Owner), Socket(std::move(Accepted)), Held(Owner.Held),
+      WaitSince(Owner.Loop.now()) {
   eventloop::tuneSocket(Socket);
 }
 
@@ -91,8 +104,8 @@
     }
     if (Taken > 0 && HeadDone)
       WaitSince = State.Loop.now();
-    holdBytes(Parser->get().body().size());
-    if (State.HeldBytes > State.Options.MaxHeldBytes && !Parser->is_done())
+    Held.set(Parser->get().body().size());
+    if (State.Held.full() && !Parser->is_done())
       return refuse(503, "out-of-memory");
     if (Parser->is_done())
       return onRequest();
@@ -110,12 +123,6 @@
   }
 }
 
-void front_session::holdBytes(std::size_t Bytes) {
-  State.HeldBytes += Bytes;
-  State.HeldBytes -= Held;
-  Held = Bytes;
-}
-
 void front_session::onParseError(error_code Failed) {
   if (Failed == http::error::header_limit)
     return refuse(431, "header-too-large");
@@ -127,6 +134,8 @@
 void front_session::onRequest() {
   auto Message = Parser->release();
   KeepAlive = Message.keep_alive();
+  constexpr unsigned Http11 = 11;
+  KnowsChunks = Message.version() >= Http11;
   HeadOnly = Message.method() == http::verb::head;
   front_request Request{
       .Method = std::string(Message.method_string()),
@@ -144,8 +153,12 @@
 }
 
 void front_session::answer(front_answer Answer) {
-  Exchange.reset();
-  holdBytes(0);
+  if (Answer.Whole)
+    Exchange.reset();
+  const bool Unbounded = !Answer.Whole && Answer.ContentLength.empty();
+  Chunked = Unbounded && KnowsChunks;
+  if (Unbounded && !KnowsChunks)
+    KeepAlive = false;
   const bool Keep = KeepAlive && !State.Stopping;
   std::string Head = "HTTP/1.1 " + std::to_string(Answer.Status) + " ";
   Head += Answer.Reason.empty() ? std::string(http::obsolete_reason(
@@ -154,16 +167,59 @@
   Head += "\r\n" + Answer.Headers;
   const bool Bodiless =
       Answer.Status == NoContent || Answer.Status == NotModified;
-  if (HeadOnly && !Answer.ContentLength.empty())
+  const bool Announced = HeadOnly || !Answer.Whole;
+  if (Announced && !Answer.ContentLength.empty())
     appendHeader(Head, "Content-Length", Answer.ContentLength);
-  else if (!Bodiless)
+  else if (Chunked)
+    appendHeader(Head, "Transfer-Encoding", "chunked");
+  else if (Answer.Whole && !Bodiless)
     appendHeader(Head, "Content-Length", std::to_string(Answer.Body.size()));
   if (!Keep)
     appendHeader(Head, "Connection", "close");
   Head += "\r\n";
   if (HeadOnly)
     Answer.Body.clear();
-  write(std::move(Head), std::move(Answer.Body), Keep);
+  if (Answer.Whole)
+    return write(std::move(Head), std::move(Answer.Body),
+                 [Keep](front_session &Self) { Self.onWritten(Keep); });
+  KeepAlive = Keep;
+  write(std::move(Head),
+        Chunked ? chunkOf(Answer.Body) : std::move(Answer.Body),
+        [](front_session &Self) { Self.relayPiece(); });
+}
+
+void front_session::relayPiece() {
+  Exchange->readPiece(
+      [Self = weak_from_this()](base::result<answer_piece> Piece) {
+        if (const auto Session = Self.lock())
+          Session->onPiece(std::move(Piece));
+      });
+}
+
+void front_session::onPiece(base::result<answer_piece> Piece) {
+  if (Closed)
+    return;
+  if (!Piece)
+    return abort();
+  const bool Last = Piece.value().Last;
+  std::string Bytes = std::move(Piece.value().Bytes);
+  if (Chunked)
+    Bytes = chunkOf(Bytes) + (Last ? LastChunk : "");
+  if (!Last)
+    return write({}, std::move(Bytes),
+                 [](front_session &Self) { Self.relayPiece(); });
+  Exchange.reset();
+  write({}, std::move(Bytes),
+        [Keep = KeepAlive](front_session &Self) { Self.onWritten(Keep); });
+}
+
+void front_session::abort() {
+  Exchange.reset();
+  // A close that drops what is unsent resets the connection: even an answer
+  // without a length then has no end.
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  close();
 }
 
 void front_session::refuse(unsigned Status, std::string_view Error) {
@@ -179,8 +235,10 @@
           .Body = "{\"error\":\"" + std::string(Error) + "\"}"});
 }
 
-void front_session::write(std::string Head, std::string Body, bool Keep) {
+void front_session::write(std::string Head, std::string Body,
+                          std::function<void(front_session &)> Written) {
   Writing = true;
+  Held.set(Body.size());
   WaitSince = State.Loop.now();
   struct parts {
     std::string Head;
@@ -190,19 +248,21 @@
       std::make_shared<parts>(parts{std::move(Head), std::move(Body)});
   const std::array<asio::const_buffer, 2> Buffers = {asio::buffer(Parts->Head),
                                                      asio::buffer(Parts->Body)};
-  asio::async_write(Socket, Buffers,
-                    [Self = shared_from_this(), Parts,
-                     Keep](error_code Failed, std::size_t /*Count*/) {
-                      if (Self->Closed)
-                        return;
-                      if (Failed)
-                        return Self->close();
-                      Self->onWritten(Keep);
-                    });
+  asio::async_write(
+      Socket, Buffers,
+      [Self = shared_from_this(), Parts,
+       Written = std::move(Written)](error_code Failed, std::size_t /*Count*/) {
+        if (Self->Closed)
+          return;
+        if (Failed)
+          return Self->close();
+        Self->Writing = false;
+        Self->Held.set(0);
+        Written(*Self);
+      });
 }
 
 void front_session::onWritten(bool Keep) {
-  Writing = false;
   if (!Keep) {
     error_code Ignored;
     Socket.shutdown(tcp::socket::shutdown_send, Ignored);
@@ -214,7 +274,7 @@
 }
 
 void front_session::sweep() {
-  if (Closed || Exchange)
+  if (Closed || (Exchange && !Writing))
     return;
   const base::duration Waited = State.Loop.now() - WaitSince;
   const fleet::caller_limits Limits = limits();
@@ -241,7 +301,7 @@
 void front_session::close() {
   if (std::exchange(Closed, true))
     return;
-  holdBytes(0);
+  Held.set(0);
   if (const auto Running = std::exchange(Exchange, {}))
     Running->cancel();
   error_code Ignored;
--- a/modules/gateway/internal/frontsession.h
+++ b/modules/gateway/internal/frontsession.h
@@ -30,7 +30,7 @@
   }
 
 private:
-  using parser = http::request_parser<http::string_body>;
+  using parser = http::request_parser<arrived_body>;
 
   void read();
   void take(std::string_view Bytes);
@@ -40,9 +40,15 @@
   void onRequest();
   void answer(front_answer Answer);
   void refuse(unsigned Status, std::string_view Error);
-  void write(std::string Head, std::string Body, bool Keep);
+  /// Writes and then calls \p Written.
+  void write(std::string Head, std::string Body,
+             std::function<void(front_session &)> Written);
   void onWritten(bool Keep);
-  void holdBytes(std::size_t Bytes);
+  /// Passes on the next piece of an answer that is not held whole.
+  void relayPiece();
+  void onPiece(base::result<answer_piece> Piece);
+  /// Ends the connection so that what was sent can't be taken for whole.
+  void abort();
   [[nodiscard]] bool wantsRead() const;
   [[nodiscard]] fleet::caller_limits limits() const;
 
@@ -61,8 +67,11 @@
   bool Closed = false;
   bool KeepAlive = true;
   bool HeadOnly = false;
-  /// Counted in the gateway's HeldBytes.
-  std::size_t Held = 0;
+  /// The answer that is being passed on is framed in chunks.
+  bool Chunked = false;
+  /// The request's version knows chunks.
+  bool KnowsChunks = true;
+  held_part Held;
   /// When the present wait began: for a request, its head, its body, or for
   /// the caller to read its answer.
   base::instant WaitSince{};
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -23,6 +23,8 @@
 constexpr double AcceptShare = 0.4;
 /// Part of the grace after which whatever still runs is left.
 constexpr double EndShare = 0.95;
+/// A target that does not answer on an idle connection within this has lost it.
+constexpr base::duration RefreshLimit = std::chrono::seconds(1);
 constexpr auto StopPoll = std::chrono::milliseconds(50);
 
 base::duration partOf(base::duration Whole, double Part) {
@@ -34,12 +36,13 @@
   State.Acceptor->async_accept([&State](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
       return;
-    if (!Failed) {
-      const auto Session =
-          std::make_shared<front_session>(State, std::move(Socket));
-      State.Sessions.insert(Session);
-      Session->start();
-    }
+    if (Failed)
+      return State.AcceptRetry.after(eventloop::AcceptPause,
+                                     [&State] { accept(State); });
+    const auto Session =
+        std::make_shared<front_session>(State, std::move(Socket));
+    State.Sessions.insert(Session);
+    Session->start();
     accept(State);
   });
 }
@@ -49,10 +52,12 @@
 void refresh(gateway_state &State, const channel_ptr &Channel) {
   for (const auto &[Name, Service] : State.Services) {
     const fleet::target_report *Target =
-        Service->Placement.find(Channel->targetId());
+        Service->Placement.find(channel_pool::targetIn(Channel->key()));
     if (Target == nullptr || Target->DataCentre != State.Options.DataCentre)
       continue;
-    return Channel->call(healthCall(Service->Service, *Target),
+    target_call Call = healthCall(Service->Service, *Target);
+    Call.Limit = RefreshLimit;
+    return Channel->call(std::move(Call),
                          [&State, Channel](const auto & /*Answer*/) {
                            State.Pool.release(Channel);
                          });
@@ -143,9 +148,35 @@
                              gateway_options Chosen,
                              telemetry::metrics &Registry)
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
-      Random(std::random_device()()), Pool(Loop, Options.Dialect, Metrics),
+      Random(std::random_device()()), Held(Options.MaxHeldBytes),
+      Pool(Loop, Options.Dialect, Metrics, Held,
+           [this](const std::string &Key, unsigned Status,
+                  const http::fields &Fields) {
+             noteAnswer(Key, Status, Fields);
+           }),
       Cold(Options.InstanceId), Probes(Options.ProbesPerTarget), Sweeper(Loop),
-      Evaluator(Loop), StopTimer(Loop) {}
+      Evaluator(Loop), StopTimer(Loop), AcceptRetry(Loop) {}
+
+void gateway_state::noteAnswer(const std::string &ChannelKey, unsigned Status,
+                               const http::fields &Fields) {
+  const placement::target_wish Wish =
+      wishIn(Fields, Status, Options.Dialect.Leaving);
+  if (Wish == placement::target_wish{})
+    return;
+  for (const auto &[Name, Service] : Services) {
+    const fleet::target_report *Target =
+        Service->Placement.find(channel_pool::targetIn(ChannelKey));
+    if (Target == nullptr || channel_pool::keyOf(*Target) != ChannelKey)
+      continue;
+    if (Service->Placement.wished(Target->Id, Wish, Loop.now()))
+      telemetry::logChange(
+          telemetry::log_level::Info, "gateway", "target-turned-away",
+          {{"target", Target->Id},
+           {"leaving", Wish.Leaving ? "yes" : "no"},
+           {"pause_ms", std::to_string(millisecondsOf(Wish.Pause))}});
+    return;
+  }
+}
 
 service_ptr gateway_state::serviceOf(const std::string &Name) const {
   const auto Found = Services.find(Name);
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -11,6 +11,7 @@
 #include "fulmar/placement/windowbudget.h"
 #include "fulmar/routing/crashdetector.h"
 #include "internal/channelpool.h"
+#include "internal/targetwish.h"
 
 #include <map>
 #include <memory>
@@ -91,11 +92,17 @@
                 telemetry::metrics &Registry);
 
   [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
+  /// Takes from any answer of a target what it says of itself: that it leaves,
+  /// or wants nothing for a while.
+  void noteAnswer(const std::string &ChannelKey, unsigned Status,
+                  const http::fields &Fields);
 
   eventloop::loop &Loop;
   gateway_options Options;
   telemetry::metrics &Metrics;
   base::random_source Random;
+  /// Bodies of requests and answers.
+  held_bytes Held;
   channel_pool Pool;
   placement::cold_limiter Cold;
   placement::probe_budget Probes;
@@ -109,8 +116,6 @@
   routing::crash_detector Crashes;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
-  /// Bytes of request bodies in memory.
-  std::size_t HeldBytes = 0;
   /// Requests that are being served.
   std::size_t Running = 0;
   bool Stopping = false;
@@ -118,6 +123,7 @@
   eventloop::timer Sweeper;
   eventloop::timer Evaluator;
   eventloop::timer StopTimer;
+  eventloop::timer AcceptRetry;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/httptypes.cpp
+++ b/modules/gateway/internal/httptypes.cpp
@@ -66,6 +66,24 @@
   return Number;
 }
 
+std::optional<base::duration> parseSeconds(std::string_view Text) {
+  /// Longer times mean as much as this one.
+  constexpr double MaxSeconds = 86'400;
+  const std::string_view Number = trimmed(Text);
+  // Neither signs nor words for what is no number.
+  if (Number.empty() ||
+      std::isdigit(static_cast<unsigned char>(Number.front())) == 0)
+    return std::nullopt;
+  double Seconds = 0;
+  const char *Last = Number.data() + Number.size();
+  const auto Read =
+      std::from_chars(Number.data(), Last, Seconds, std::chars_format::fixed);
+  if (Read.ec != std::errc() || Read.ptr != Last)
+    return std::nullopt;
+  return std::chrono::duration_cast<base::duration>(
+      std::chrono::duration<double>(std::min(Seconds, MaxSeconds)));
+}
+
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          std::equal(Left.begin(), Left.end(), Right.begin(),
--- a/modules/gateway/internal/httptypes.h
+++ b/modules/gateway/internal/httptypes.h
@@ -37,6 +37,10 @@
 /// Whole number without sign; empty when \p Text is anything else.
 std::optional<std::uint64_t> parseWhole(std::string_view Text);
 
+/// Seconds, with a fraction or without, as Retry-After holds them; empty when
+/// \p Text is anything else or negative.
+std::optional<base::duration> parseSeconds(std::string_view Text);
+
 inline std::int64_t millisecondsOf(base::duration Time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -19,22 +19,39 @@
 /// A target that does not accept a connection is taken for unreachable: many
 /// round trips, and time to send elsewhere.
 constexpr base::duration ConnectLimit = std::chrono::milliseconds(250);
-/// Headers of an answer; well above what targets send.
+/// Headers of an answer; well above what targets send. Bytes that the parser
+/// can't take yet (a chunk's head, a trailer) are held up to here too.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64U << 10U;
+/// Interim answers and answers to earlier calls that are passed over in a call:
+/// a target sends one or two of them.
+constexpr unsigned MaxSkippedAnswers = 8;
+
+base::error truncated(std::string Why) {
+  return {base::error_kind::TruncatedAnswer, std::move(Why)};
+}
 
 } // namespace
 
 target_channel::target_channel(eventloop::loop &OwningLoop,
                                std::string TargetKey, tcp::endpoint At,
-                               const dialect &Names)
+                               const dialect &Names, held_bytes &Memory,
+                               const observer &Watching)
     : Loop(OwningLoop), Key(std::move(TargetKey)), Endpoint(std::move(At)),
-      Dialect(Names), Socket(Loop.context()), ConnectTimer(Loop),
+      Dialect(Names), Watcher(Watching), Socket(Loop.context()),
+      ConnectTimer(Loop), CallTimer(Loop), Held(Memory), AllHeld(Memory),
       IdleLimit(DefaultIdleLimit) {}
 
 void target_channel::call(target_call Next, handler Called) {
   Call = std::move(Next);
   Done = std::move(Called);
+  Skipped = 0;
   resetParser();
+  if (Call.Limit.count() > 0)
+    CallTimer.after(Call.Limit, [Self = shared_from_this()] {
+      if (Self->Done)
+        Self->finish(base::fail(base::error_kind::OutcomeUnknown,
+                                "no answer within the limit"));
+    });
   if (Connected)
     write();
   else
@@ -45,8 +62,10 @@
   Parser.emplace();
   Parser->eager(true);
   Parser->header_limit(MaxAnswerHeaderBytes);
+  // What is held is bounded in parse().
   Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   Parser->skip(Call.HeadOnly);
+  Held.set(0);
 }
 
 void target_channel::connect() {
@@ -86,26 +105,35 @@
                     });
 }
 
+bool target_channel::wantsRead() const {
+  return Socket.is_open() && !Reading && (!Streaming || OnPiece);
+}
+
 void target_channel::read() {
+  if (!wantsRead())
+    return;
+  Reading = true;
   Socket.async_read_some(
       asio::buffer(Chunk),
       [Self = shared_from_this()](error_code Failed, std::size_t Count) {
+        Self->Reading = false;
         if (!Self->Socket.is_open())
           return;
         if (Failed)
           return Self->onEnd(Failed);
         Self->take({Self->Chunk.data(), Count});
-        if (Self->Socket.is_open())
-          Self->read();
+        Self->read();
       });
 }
 
 void target_channel::take(std::string_view Bytes) {
-  if (!Done)
+  if (!Done && !Streaming)
     return close();
   Pending.append(Bytes);
-  while (Done && parse()) {
+  while ((Done || Streaming) && parse()) {
   }
+  if (Streaming)
+    givePiece();
 }
 
 bool target_channel::parse() {
@@ -114,40 +142,130 @@
   error_code Failed;
   const std::size_t Taken = Parser->put(asio::buffer(Pending), Failed);
   Pending.erase(0, Taken);
-  if (Failed && Failed != http::error::need_more) {
+  const bool Malformed = Failed && Failed != http::error::need_more;
+  if (Malformed || Pending.size() > MaxAnswerHeaderBytes) {
     Tainted = true;
-    finish(base::fail(base::error_kind::TruncatedAnswer, Failed.message()));
+    const base::error Error =
+        truncated(Malformed ? Failed.message() : "bytes that are no answer");
+    if (Streaming)
+      endStream(Error);
+    else
+      finish(Error);
     return false;
   }
-  if (!Parser->is_done())
+  if (Streaming)
+    return !Parser->is_done() && Taken > 0;
+  if (!Parser->is_done()) {
+    const std::size_t Size = Parser->get().body().size();
+    Held.set(Size);
+    if (Size > MaxHeldAnswerBytes || (Size > 0 && AllHeld.full())) {
+      onLongAnswer();
+      return false;
+    }
     return Taken > 0;
+  }
   onAnswer();
   return Done && !Pending.empty();
 }
 
+bool target_channel::isInterim() const {
+  constexpr unsigned FirstFinalStatus = 200;
+  return Parser->get().result_int() < FirstFinalStatus;
+}
+
 bool target_channel::belongsElsewhere() const {
   const auto Id = headerOf(Parser->get(), Dialect.RequestId);
   return !Id.empty() && Id != Call.RequestId;
 }
 
-void target_channel::onAnswer() {
-  constexpr unsigned FirstFinalStatus = 200;
-  const auto &Message = Parser->get();
-  if (Message.result_int() < FirstFinalStatus)
-    return resetParser();
-  if (belongsElsewhere()) {
+bool target_channel::isUnproven() const {
+  return UsedBefore && !Call.RequestId.empty() &&
+         headerOf(Parser->get(), Dialect.RequestId).empty();
+}
+
+void target_channel::skipAnswer() {
+  if (!isInterim())
     Tainted = true;
+  if (++Skipped <= MaxSkippedAnswers)
     return resetParser();
-  }
+  Tainted = true;
+  finish(truncated("too many answers that are not the call's"));
+}
+
+void target_channel::onAnswer() {
+  const auto &Message = Parser->get();
+  if (isInterim())
+    return skipAnswer();
+  Watcher(Key, Message.result_int(), Message);
+  if (belongsElsewhere())
+    return skipAnswer();
   if (!Pending.empty() || !Parser->keep_alive())
     Tainted = true;
+  if (isUnproven()) {
+    Tainted = true;
+    return finish(truncated("an answer without an id on a used connection"));
+  }
   noteKeepAlive(Message);
-  auto Whole = Parser->release();
-  target_answer Answer{.Status = Whole.result_int(),
-                       .Reason = std::string(Whole.reason()),
-                       .Fields = std::move(Whole.base()),
-                       .Body = std::move(Whole.body())};
-  finish(std::move(Answer));
+  finish(takeAnswer());
+}
+
+void target_channel::onLongAnswer() {
+  Watcher(Key, Parser->get().result_int(), Parser->get());
+  Tainted = true;
+  if (isInterim() || belongsElsewhere() || isUnproven())
+    return finish(truncated("a long answer that is not the call's"));
+  Streaming = true;
+  target_answer Begun = takeAnswer();
+  Begun.Whole = false;
+  const handler Called = std::exchange(Done, {});
+  CallTimer.cancel();
+  Called(std::move(Begun));
+}
+
+target_answer target_channel::takeAnswer() {
+  auto &Message = Parser->get();
+  target_answer Answer{.Status = Message.result_int(),
+                       .Reason = std::string(Message.reason()),
+                       .Fields = std::move(Message.base()),
+                       .Body = std::move(Message.body())};
+  Message.body().clear();
+  Held.set(0);
+  return Answer;
+}
+
+void target_channel::readPiece(piece_handler Called) {
+  OnPiece = std::move(Called);
+  Loop.post([Self = shared_from_this()] {
+    if (!Self->OnPiece)
+      return;
+    while (Self->Streaming && Self->parse()) {
+    }
+    Self->givePiece();
+    Self->read();
+  });
+}
+
+/// Hands over what has arrived of a long answer, once it is asked for.
+void target_channel::givePiece() {
+  if (!OnPiece || !Streaming)
+    return;
+  const bool Last = Parser->is_done();
+  answer_piece Piece{.Bytes = std::move(Parser->get().body()), .Last = Last};
+  Parser->get().body().clear();
+  if (Last)
+    return endStream(std::move(Piece));
+  if (Piece.Bytes.empty())
+    return;
+  const piece_handler Called = std::exchange(OnPiece, {});
+  Called(std::move(Piece));
+}
+
+void target_channel::endStream(base::result<answer_piece> Piece) {
+  const piece_handler Called = std::exchange(OnPiece, {});
+  // The connection is not used again: the answer's end was not awaited here.
+  close();
+  if (Called)
+    Called(std::move(Piece));
 }
 
 void target_channel::noteKeepAlive(const http::fields &Fields) {
@@ -165,14 +283,16 @@
 
 void target_channel::onEnd(error_code Failed) {
   Tainted = true;
-  if (!Done)
+  if (!Done && !Streaming)
     return close();
   if (Failed == asio::error::eof && Parser->got_some()) {
     error_code Cut;
     Parser->put_eof(Cut);
     if (!Cut && Parser->is_done())
-      return onAnswer();
+      return Streaming ? givePiece() : onAnswer();
   }
+  if (Streaming)
+    return endStream(truncated(Failed.message()));
   const bool Begun = Parser->got_some();
   finish(base::fail(Begun ? base::error_kind::TruncatedAnswer
                           : base::error_kind::OutcomeUnknown,
@@ -184,6 +304,9 @@
     error_code Ignored;
     Socket.close(Ignored);
   }
+  CallTimer.cancel();
+  Held.set(0);
+  UsedBefore = true;
   IdleSince = Loop.now();
   const handler Called = std::exchange(Done, {});
   if (Called)
@@ -192,8 +315,12 @@
 
 void target_channel::close() {
   Done = {};
+  OnPiece = {};
+  Streaming = false;
   ConnectTimer.cancel();
+  CallTimer.cancel();
   Tainted = true;
+  Held.set(0);
   error_code Ignored;
   Socket.close(Ignored);
 }
--- a/modules/gateway/internal/targetchannel.h
+++ b/modules/gateway/internal/targetchannel.h
@@ -1,14 +1,22 @@
 // One kept connection to a target, on which one call runs at a time.
 //
-// It always reads. Bytes that come while nothing was asked, or behind a whole
-// answer, belong to no request: the connection is closed. An answer that bears
-// another request's id is dropped, and the next one is awaited.
+// It always reads, except where an answer is passed on piece by piece. Bytes
+// that come while nothing was asked, or behind a whole answer, belong to no
+// request: the connection is closed. An answer that bears another request's id
+// is dropped, and the next one is awaited. On a connection that has been used
+// before, an answer without an id may be a late copy of an earlier one and is
+// not taken for the call's own.
+//
+// What it holds is bounded: an answer that grows beyond a limit is handed over
+// unfinished, to be read in pieces, and bytes that are no answer end the call.
 
 #ifndef FULMAR_GATEWAY_INTERNAL_TARGETCHANNEL_H
 #define FULMAR_GATEWAY_INTERNAL_TARGETCHANNEL_H
 
 #include "fulmar/base/result.h"
 #include "fulmar/gateway/dialect.h"
+#include "internal/arrivedbody.h"
+#include "internal/heldbytes.h"
 #include "internal/httptypes.h"
 
 #include <array>
@@ -19,6 +27,9 @@
 
 namespace fulmar::gateway {
 
+/// Longest body of an answer that is held whole.
+inline constexpr std::size_t MaxHeldAnswerBytes = std::size_t(256) << 10U;
+
 struct target_call {
   /// Start line and headers, with the empty line.
   std::string Head;
@@ -27,6 +38,8 @@
   std::string RequestId;
   /// HEAD: the answer has no body.
   bool HeadOnly = false;
+  /// The call fails after this; 0 where the caller limits it.
+  base::duration Limit{};
 };
 
 struct target_answer {
@@ -34,6 +47,14 @@
   std::string Reason;
   http::fields Fields;
   std::string Body;
+  /// False: Body is a first part, and readPiece() reads on.
+  bool Whole = true;
+};
+
+/// A further part of an answer that is not held whole.
+struct answer_piece {
+  std::string Bytes;
+  bool Last = false;
 };
 
 class target_channel : public std::enable_shared_from_this<target_channel> {
@@ -41,60 +62,93 @@
   /// Unreachable: no byte can have arrived. OutcomeUnknown and TruncatedAnswer:
   /// the target may have run the call.
   using handler = std::function<void(base::result<target_answer>)>;
+  using piece_handler = std::function<void(base::result<answer_piece>)>;
+  /// Sees the status and header fields of each final answer that the target
+  /// gives, whoever it belongs to.
+  using observer = std::function<void(const std::string &Key, unsigned Status,
+                                      const http::fields &Fields)>;
 
   target_channel(eventloop::loop &OwningLoop, std::string TargetKey,
-                 tcp::endpoint At, const dialect &Names);
+                 tcp::endpoint At, const dialect &Names, held_bytes &Memory,
+                 const observer &Watching);
 
   /// Connects first where needed. \p Done is called once, unless the channel
   /// is closed before; never from within this call.
   void call(target_call Call, handler Done);
+  /// After an unfinished answer: \p Done gets the next piece, or the error that
+  /// ended the answer; not called once the channel is closed. The target is
+  /// read no faster than pieces are asked for.
+  void readPiece(piece_handler Done);
   /// Drops a running call without calling its handler.
   void close();
 
   [[nodiscard]] const std::string &key() const { return Key; }
-  [[nodiscard]] std::string targetId() const {
-    return Key.substr(0, Key.find('/'));
-  }
   /// Idle, connected, and fit for another call.
   [[nodiscard]] bool reusable() const {
-    return Connected && !Done && !Tainted && !Writing && Socket.is_open();
+    return Connected && !Done && !Streaming && !Tainted && !Writing &&
+           Socket.is_open();
   }
   [[nodiscard]] base::instant idleSince() const { return IdleSince; }
   [[nodiscard]] base::duration idleLimit() const { return IdleLimit; }
   [[nodiscard]] bool connected() const { return Connected; }
+  /// Further answers on this connection are not to be used.
+  void taint() { Tainted = true; }
 
 private:
-  using parser = http::response_parser<http::string_body>;
+  using parser = http::response_parser<arrived_body>;
 
   void connect();
   void write();
   void read();
+  [[nodiscard]] bool wantsRead() const;
   void take(std::string_view Bytes);
   /// Feeds the parser; false when more bytes are needed or the call ended.
   bool parse();
   void onEnd(error_code Failed);
   void onAnswer();
+  /// The body is longer than what is held.
+  void onLongAnswer();
+  /// An interim answer, or another request's: the next one is awaited, unless
+  /// too many of them have come.
+  void skipAnswer();
+  [[nodiscard]] bool isInterim() const;
   [[nodiscard]] bool belongsElsewhere() const;
+  [[nodiscard]] bool isUnproven() const;
+  target_answer takeAnswer();
   void resetParser();
   void noteKeepAlive(const http::fields &Fields);
   void finish(base::result<target_answer> Result);
+  void givePiece();
+  void endStream(base::result<answer_piece> Piece);
 
   eventloop::loop &Loop;
   std::string Key;
   tcp::endpoint Endpoint;
   const dialect &Dialect;
+  const observer &Watcher;
   tcp::socket Socket;
   eventloop::timer ConnectTimer;
+  eventloop::timer CallTimer;
   bool Connected = false;
+  bool Reading = false;
   bool Writing = false;
   /// Not fit for another call.
   bool Tainted = false;
+  /// Some call has been written before the present one.
+  bool UsedBefore = false;
 
   target_call Call;
   handler Done;
   std::optional<parser> Parser;
+  /// Answers that were passed over in the present call.
+  unsigned Skipped = 0;
+  /// An unfinished answer has been handed over.
+  bool Streaming = false;
+  piece_handler OnPiece;
   /// Bytes that the parser has not taken yet.
   std::string Pending;
+  held_part Held;
+  held_bytes &AllHeld;
   std::array<char, 8'192> Chunk{};
   base::instant IdleSince{};
   base::duration IdleLimit;
--- a/modules/gateway/tests/gateway_tests.cpp
+++ b/modules/gateway/tests/gateway_tests.cpp
@@ -1,13 +1,8 @@
 // The gateway between a caller's socket and scripted targets: every caller gets
 // its own whole answer, and what may have run is never said not to have.
 
-#include "fulmar/gateway/gateway.h"
 #include "fulmar/testing/property.h"
-#include "tests/scriptedtarget.h"
-
-#include <boost/asio/write.hpp>
-
-#include <algorithm>
+#include "tests/gatewayfixture.h"
 
 using namespace fulmar;
 using namespace fulmar::gateway;
@@ -15,153 +10,13 @@
 
 namespace {
 
-constexpr const char *FrontAddress = "127.0.0.1:18560";
-
-dialect testDialect() {
-  return {.RequestId = "T-Request",
-          .Deadline = "T-Deadline",
-          .Signature = "T-Signature",
-          .ExpectedTarget = "T-Expect",
-          .Load = "T-Load",
-          .NotRun = "T-Not-Run",
-          .TargetId = "T-Id",
-          .ColdLeft = "T-Cold"};
-}
-
-/// A caller's connection.
-class test_caller {
-public:
-  explicit test_caller(eventloop::loop &OwningLoop)
-      : Loop(OwningLoop), Socket(Loop.context()) {
-    Socket.connect(eventloop::parseEndpoint(FrontAddress).value());
-    read();
-  }
-
-  void send(const std::string &Bytes) {
-    asio::write(Socket, asio::buffer(Bytes));
-  }
-  void close() {
-    error_code Ignored;
-    Socket.close(Ignored);
-  }
-
-  std::string Received;
-  bool Ended = false;
-
-private:
-  void read() {
-    Socket.async_read_some(asio::buffer(Chunk),
-                           [this](error_code Failed, std::size_t Count) {
-                             if (Failed) {
-                               Ended = true;
-                               return;
-                             }
-                             Received.append(Chunk.data(), Count);
-                             read();
-                           });
-  }
-
-  eventloop::loop &Loop;
-  tcp::socket Socket;
-  std::array<char, 4'096> Chunk{};
-};
-
-std::string request(const std::string &Method, const std::string &Path,
-                    const std::string &Body = "",
-                    const std::string &Headers = "T-Deadline: 2000\r\n") {
-  return Method + " " + Path + " HTTP/1.1\r\nHost: a.example\r\n" +
-         "T-Request: id1\r\n" + Headers +
-         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
 constexpr const char *Refusal =
-    "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    "HTTP/1.1 503 Full\r\nT-Request: id1\r\nT-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
 
 } // namespace
 
-TEST_GROUP(Gateway) {
-  eventloop::loop Loop;
-  telemetry::metrics Metrics;
-  gateway::gateway Gateway{Loop,
-                           {.Listen = FrontAddress,
-                            .Dialect = testDialect(),
-                            .InstanceId = "e",
-                            .DataCentre = "pos",
-                            .Grace = milliseconds(1'500)},
-                           Metrics};
-  std::vector<std::unique_ptr<scripted_target>> Targets;
-  fleet::routing_plan Plan{
-      .Version = 1,
-      .Routes = {{.Name = "read",
-                  .Host = "a.example",
-                  .PathPrefix = "/read/",
-                  .Repeatability = fleet::repeatability::Idempotent,
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2},
-                 {.Name = "write",
-                  .Host = "a.example",
-                  .PathPrefix = "/write/",
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2}},
-      .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
-
-  void setup() override { CHECK_TRUE(Gateway.start().has_value()); }
-
-  void addTarget(scripted_target::script Script) {
-    const std::string Number = std::to_string(Targets.size());
-    Targets.push_back(std::make_unique<scripted_target>(
-        Loop, "t" + Number, "127.0.0.1:1857" + Number, std::move(Script)));
-    apply();
-  }
-
-  void apply() {
-    fleet_view View{.Serial = 1,
-                    .Plan = std::make_shared<fleet::routing_plan>(Plan),
-                    .Entries = {"e"}};
-    for (const auto &Target : Targets)
-      View.Targets.push_back({.Id = Target->id(),
-                              .Service = "s",
-                              .DataCentre = "pos",
-                              .Address = Target->address(),
-                              .Slots = 4,
-                              .StartedAtMs = 1});
-    Gateway.apply(View);
-  }
-
-  template <typename Condition>
-  bool runUntil(Condition Done,
-                base::duration Limit = std::chrono::seconds(4)) {
-    const base::instant End = Loop.now() + Limit;
-    while (!Done() && Loop.now() < End)
-      Loop.context().run_one_for(milliseconds(5));
-    return Done();
-  }
-
-  /// Sends one request and returns all that comes back within a moment after
-  /// the first byte.
-  std::string ask(const std::string &Bytes) {
-    test_caller Caller(Loop);
-    Caller.send(Bytes);
-    runUntil([&Caller] { return !Caller.Received.empty() || Caller.Ended; });
-    const base::instant Until = Loop.now() + milliseconds(30);
-    runUntil([this, Until] { return Loop.now() > Until; });
-    const std::string Received = Caller.Received;
-    Caller.close();
-    Loop.context().poll();
-    return Received;
-  }
-
-  std::size_t arrived() const {
-    std::size_t Count = 0;
-    for (const auto &Target : Targets)
-      Count += Target->requests().size();
-    return Count;
-  }
-};
+TEST_GROUP_BASE(Gateway, gateway_fixture){};
 
 TEST(Gateway, forwardsUnchangedAndReturnsTheWholeAnswer) {
   addTarget([](const seen_request &Request) {
--- a/modules/gateway/tests/scriptedtarget.cpp
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -14,8 +14,9 @@
   connection(const scripted_target &Owner, tcp::socket Accepted)
       : Socket(std::move(Accepted)), Id(Owner.Id), Script(Owner.Script),
         Requests(Owner.Requests), Abandoned(Owner.Abandoned),
-        LoadText(Owner.LoadText), HealthDelay(Owner.HealthDelay),
-        HealthTimer(Socket.get_executor()) {}
+        LoadText(Owner.LoadText), HealthHeaders(Owner.HealthHeaders),
+        EndlessBytes(Owner.EndlessBytes), EndlessClosed(Owner.EndlessClosed),
+        HealthDelay(Owner.HealthDelay), HealthTimer(Socket.get_executor()) {}
 
   void read() {
     Message = {};
@@ -50,12 +51,16 @@
     HealthTimer.expires_after(*HealthDelay);
     HealthTimer.async_wait([Self = shared_from_this()](error_code /*Failed*/) {
       Self->reply({.Bytes = "HTTP/1.1 200 OK\r\nT-Id: " + Self->Id +
-                            "\r\nT-Load: " + *Self->LoadText +
-                            "\r\nContent-Length: 0\r\n\r\n"});
+                            "\r\nT-Load: " + *Self->LoadText + "\r\n" +
+                            *Self->HealthHeaders +
+                            "Content-Length: 0\r\n\r\n"});
     });
   }
 
   void reply(const target_action &Action) {
+    if (!Action.Endless.empty())
+      return writeEndlessly(Action.Bytes,
+                            std::make_shared<std::string>(Action.Endless));
     if (Action.Bytes.empty() && !Action.Close)
       return read();
     const auto Bytes = std::make_shared<std::string>(Action.Bytes);
@@ -69,12 +74,28 @@
                       });
   }
 
+  void writeEndlessly(const std::string &First,
+                      const std::shared_ptr<std::string> &Next) {
+    const auto Bytes = std::make_shared<std::string>(First + *Next);
+    asio::async_write(Socket, asio::buffer(*Bytes),
+                      [Self = shared_from_this(), Bytes,
+                       Next](error_code Failed, std::size_t Count) {
+                        *Self->EndlessBytes += Count;
+                        if (!Failed)
+                          return Self->writeEndlessly({}, Next);
+                        ++*Self->EndlessClosed;
+                      });
+  }
+
   tcp::socket Socket;
   std::string Id;
   std::shared_ptr<script> Script;
   std::shared_ptr<std::vector<seen_request>> Requests;
   std::shared_ptr<int> Abandoned;
   std::shared_ptr<std::string> LoadText;
+  std::shared_ptr<std::string> HealthHeaders;
+  std::shared_ptr<std::size_t> EndlessBytes;
+  std::shared_ptr<int> EndlessClosed;
   std::shared_ptr<base::duration> HealthDelay;
   asio::steady_timer HealthTimer;
   boost::beast::flat_buffer Buffer;
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -21,6 +21,8 @@
   std::string Bytes;
   /// Ends the connection afterwards.
   bool Close = false;
+  /// Sent after Bytes again and again, until the other side closes.
+  std::string Endless;
 };
 
 struct seen_request {
@@ -47,6 +49,15 @@
   /// Value of the load header.
   void setLoad(std::string Load) { *LoadText = std::move(Load); }
 
+  /// Further header lines of answers to health requests.
+  void setHealthHeaders(std::string Lines) {
+    *HealthHeaders = std::move(Lines);
+  }
+  /// Bytes that were written of endless answers.
+  [[nodiscard]] std::size_t endlessBytes() const { return *EndlessBytes; }
+  /// Endless answers whose connection the other side has closed.
+  [[nodiscard]] int endlessClosed() const { return *EndlessClosed; }
+
   /// Health requests are answered after \p Delay.
   void setHealthDelay(base::duration Delay) { *HealthDelay = Delay; }
 
@@ -66,6 +77,9 @@
   std::shared_ptr<int> Abandoned = std::make_shared<int>(0);
   std::shared_ptr<std::string> LoadText =
       std::make_shared<std::string>("0,0,4,100");
+  std::shared_ptr<std::string> HealthHeaders = std::make_shared<std::string>();
+  std::shared_ptr<std::size_t> EndlessBytes = std::make_shared<std::size_t>(0);
+  std::shared_ptr<int> EndlessClosed = std::make_shared<int>(0);
   std::shared_ptr<base::duration> HealthDelay =
       std::make_shared<base::duration>();
   eventloop::tcp::acceptor Acceptor;
--- /dev/null
+++ b/modules/gateway/tests/targettrouble_tests.cpp
@@ -0,0 +1,346 @@
+// Targets that leave, want nothing, say nothing, or send bytes that are no
+// answer: what callers get, and what the entry holds meanwhile.
+
+#include "fulmar/testing/property.h"
+#include "internal/targetwish.h"
+#include "tests/gatewayfixture.h"
+
+#include <fstream>
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+target_action answered(const seen_request &Request) {
+  return {.Bytes = scripted_target::ok(Request, "ran")};
+}
+
+/// A whole answer with further header lines.
+target_action answeredWith(const seen_request &Request,
+                           const std::string &Lines) {
+  std::string Bytes = scripted_target::ok(Request, "ran");
+  Bytes.insert(Bytes.find("T-Signature"), Lines);
+  return {.Bytes = Bytes};
+}
+
+std::size_t residentBytes() {
+  std::ifstream Statistics("/proc/self/statm");
+  std::size_t Whole = 0;
+  std::size_t Resident = 0;
+  Statistics >> Whole >> Resident;
+  constexpr std::size_t PageBytes = 4'096;
+  return Resident * PageBytes;
+}
+
+} // namespace
+
+TEST_GROUP_BASE(TargetTrouble, gateway_fixture){void askOften(
+    int Times, const char *Method = "GET", const char *Path = "/read/x"){
+    for (int Number = 0; Number < Times; ++Number) ask(request(Method, Path));
+}
+std::size_t arrivedAt(std::size_t Index) const {
+  return Targets[Index]->requests().size();
+}
+}
+;
+
+TEST(TargetTrouble, aLeavingTargetGetsNothingMore) {
+  addTarget([](const seen_request &Request) {
+    return answeredWith(Request, "T-Leaving: 1\r\n");
+  });
+  STRCMP_CONTAINS("ran", ask(request("GET", "/read/x")).c_str());
+  addTarget(answered);
+  askOften(4);
+  CHECK_EQUAL(1U, arrivedAt(0));
+  CHECK_EQUAL(4U, arrivedAt(1));
+  // Taken off the list and put back: it is the same run.
+  auto Gone = std::move(Targets[0]);
+  Targets.erase(Targets.begin());
+  apply();
+  Targets.insert(Targets.begin(), std::move(Gone));
+  apply();
+  askOften(4);
+  CHECK_EQUAL(1U, arrivedAt(0));
+}
+
+TEST(TargetTrouble, aTargetThatSaysInALookThatItLeavesGetsNothing) {
+  addTarget(answered);
+  addTarget(answered);
+  Targets[0]->setHealthHeaders("T-Leaving: 1\r\n");
+  askOften(6);
+  CHECK_EQUAL(0U, arrivedAt(0));
+}
+
+TEST(TargetTrouble, anAnswerThatIsNotPassedOnTellsOfLeavingToo) {
+  addTarget([](const seen_request &) {
+    return target_action{.Bytes = "HTTP/1.1 500 No\r\nT-Request: other\r\n"
+                                  "T-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+                         .Close = true};
+  });
+  addTarget(answered);
+  askOften(6);
+  CHECK_TRUE(arrivedAt(0) <= 1);
+}
+
+TEST(TargetTrouble, callersAreToldAtOnceWhenAllTargetsLeave) {
+  addTarget([](const seen_request &Request) {
+    return answeredWith(Request, "T-Leaving: 1\r\n");
+  });
+  askOften(1);
+  const base::instant Begun = Loop.now();
+  const std::string Answer = ask(request("GET", "/read/x"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Answer.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Answer.c_str());
+  CHECK_TRUE(Loop.now() - Begun < milliseconds(120));
+  CHECK_EQUAL(1U, arrived());
+}
+
+TEST(TargetTrouble, aTargetThatWantsNothingForAWhileGetsNothing) {
+  addTarget([](const seen_request &) {
+    return target_action{.Bytes =
+                             "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nT-Request: "
+                             "id1\r\nRetry-After: 0.8\r\nContent-Length: "
+                             "0\r\n\r\n"};
+  });
+  const base::instant Begun = Loop.now();
+  const std::string Refused = ask(request("POST", "/write/x", "b"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Refused.c_str());
+  // All of the service's targets want nothing: refused at once, until then.
+  const std::string Again = ask(request("POST", "/write/x", "b"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Again.c_str());
+  const auto At = Again.find("Retry-After: ") + 13;
+  CHECK_TRUE(std::stod(Again.substr(At)) >= 0.6);
+  CHECK_TRUE(Loop.now() - Begun < milliseconds(300));
+  CHECK_EQUAL(1U, arrived());
+  addTarget(answered);
+  askOften(5);
+  CHECK_EQUAL(1U, arrivedAt(0));
+  // A quarter at most is added, so that entries don't return together.
+  runUntil([&] { return Loop.now() - Begun > milliseconds(1'050); });
+  CHECK_TRUE(runUntil(
+      [this] {
+        askOften(1);
+        return arrivedAt(0) > 1;
+      },
+      milliseconds(2'500)));
+}
+
+TEST(TargetTrouble, whatRetryAfterMayHold) {
+  const auto PauseOf = [](const std::string &Value, unsigned Status = 503) {
+    http::fields Fields;
+    Fields.set("Retry-After", Value);
+    return wishIn(Fields, Status, "T-Leaving").Pause;
+  };
+  CHECK_TRUE(PauseOf("2") == std::chrono::seconds(2));
+  CHECK_TRUE(PauseOf(" 0.25 ") == milliseconds(250));
+  CHECK_TRUE(PauseOf("3600") == std::chrono::hours(1));
+  CHECK_TRUE(PauseOf("99999999999999999999") == std::chrono::hours(24));
+  CHECK_TRUE(PauseOf("1", 429) == std::chrono::seconds(1));
+  for (const char *Nothing : {"0", "-1", "soon", "", "1s", "nan", "inf", "1e9",
+                              "Fri, 04 Dec 2026 11:00:00 GMT"})
+    CHECK_TRUE(PauseOf(Nothing) == base::duration());
+  CHECK_TRUE(PauseOf("2", 200) == base::duration());
+}
+
+TEST(TargetTrouble, aSilentTargetCostsASafeRequestLittleAndIsLeftAlone) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  for (int Number = 0; Number < 3; ++Number) {
+    addTarget(answered);
+    Targets.back()->setLoad("4,0,4,100");
+  }
+  // What may have run is never said not to have.
+  STRCMP_CONTAINS("HTTP/1.1 504",
+                  ask(request("POST", "/write/x", "b")).c_str());
+  CHECK_EQUAL(1U, arrivedAt(0));
+  CHECK_TRUE(runUntil([this] { return Targets[0]->abandoned() == 1; }));
+  for (std::size_t Index = 1; Index < Targets.size(); ++Index)
+    Targets[Index]->setLoad("0,0,4,100");
+  askOften(6);
+  CHECK_EQUAL(1U, arrivedAt(0));
+}
+
+TEST(TargetTrouble, aSafeRequestAtASilentTargetIsServedElsewhere) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  addTarget(answered);
+  Targets[1]->setLoad("4,0,4,100");
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return arrivedAt(0) == 1; }));
+  // There is no room elsewhere when a second run would first be begun.
+  const base::instant FreeAt = Loop.now() + milliseconds(450);
+  runUntil([&] { return Loop.now() > FreeAt; });
+  Targets[1]->setLoad("0,0,4,100");
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); },
+                      milliseconds(300)));
+  STRCMP_CONTAINS("ran", Caller.Received.c_str());
+  // The connection to the silent target is not used again.
+  CHECK_TRUE(runUntil([this] { return Targets[0]->abandoned() == 1; }));
+  Caller.close();
+}
+
+TEST(TargetTrouble, aCopyWithoutIdOfAnEarlierAnswerReachesNobody) {
+  // The copy of the first answer comes where the second one is expected.
+  addTarget([this](const seen_request &Request) {
+    if (Targets[0]->requests().size() == 1)
+      return answered(Request);
+    return target_action{.Bytes = "HTTP/1.1 200 OK\r\nT-Signature: s\r\n"
+                                  "Content-Length: 5\r\n\r\nstale" +
+                                  scripted_target::ok(Request, "mine")};
+  });
+  STRCMP_CONTAINS("ran", ask(request("POST", "/write/x")).c_str());
+  const std::string Answer = ask(request("POST", "/write/x"));
+  CHECK_TRUE(Answer.find("stale") == std::string::npos);
+  STRCMP_CONTAINS("HTTP/1.1 502", Answer.c_str());
+}
+
+TEST(TargetTrouble, aRefusalWithoutIdOnAUsedConnectionProvesNothing) {
+  addTarget([this](const seen_request &Request) {
+    if (Targets[0]->requests().size() == 1)
+      return answered(Request);
+    return target_action{.Bytes = "HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n"};
+  });
+  ask(request("POST", "/write/x"));
+  STRCMP_CONTAINS("HTTP/1.1 502", ask(request("POST", "/write/x")).c_str());
+}
+
+TEST(TargetTrouble, anAbsurdLengthEndsTheCallOnly) {
+  addTarget([](const seen_request &) {
+    return target_action{.Bytes = "HTTP/1.1 200 OK\r\nT-Request: id1\r\n"
+                                  "T-Signature: s\r\nContent-Length: "
+                                  "4611686018427387903\r\n\r\nx",
+                         .Close = true};
+  });
+  STRCMP_CONTAINS("HTTP/1.1 502", ask(request("POST", "/write/x")).c_str());
+  // From a caller too.
+  STRCMP_CONTAINS("HTTP/1.1 413", ask("POST /write/x HTTP/1.1\r\nHost: "
+                                      "a.example\r\nContent-Length: "
+                                      "4611686018427387903\r\n\r\nx")
+                                      .c_str());
+}
+
+TEST(TargetTrouble, bytesWithoutEndAreCutOffWithinABound) {
+  const std::string Kilobyte(1'024, 'x');
+  const std::string Begun = "HTTP/1.1 200 OK\r\nT-Request: id1\r\n";
+  struct trouble {
+    const char *Name;
+    std::string First;
+    std::string Endless;
+  };
+  const std::vector<trouble> Troubles = {
+      {"no answer", "", Kilobyte},
+      {"head", Begun, "X-More: " + Kilobyte + "\r\n"},
+      {"one header", Begun + "X-More: ", Kilobyte},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"others' answers", "",
+       "HTTP/1.1 200 OK\r\nT-Request: other\r\nContent-Length: 1\r\n\r\nx"},
+      {"another's body",
+       "HTTP/1.1 200 OK\r\nT-Request: other\r\nContent-Length: "
+       "999999999\r\n\r\n",
+       Kilobyte},
+      {"unsigned body", Begun + "\r\n", Kilobyte},
+      {"chunk extension",
+       Begun + "T-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+       Kilobyte},
+      {"trailers",
+       Begun + "T-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-More: " + Kilobyte + "\r\n"}};
+  for (const trouble &Trouble : Troubles) {
+    Targets.clear();
+    addTarget([&Trouble](const seen_request &) {
+      return target_action{.Bytes = Trouble.First, .Endless = Trouble.Endless};
+    });
+    const std::string Answer = ask(request("POST", "/write/x", "b"));
+    CHECK_TEXT(Answer.find("HTTP/1.1 502") == 0, Trouble.Name);
+    CHECK_TEXT(runUntil([this] { return Targets[0]->endlessClosed() == 1; }),
+               Trouble.Name);
+    // What was in the sockets' buffers comes on top.
+    CHECK_TEXT(Targets[0]->endlessBytes() < (std::size_t(12) << 20U),
+               Trouble.Name);
+  }
+}
+
+TEST(TargetTrouble, aHundredEndlessAnswersStayWithinTheBound) {
+  constexpr int Callers = 100;
+  constexpr std::size_t MaxGrowth = std::size_t(56) << 20U;
+  addTarget([](const seen_request &Request) {
+    return target_action{
+        .Bytes = "HTTP/1.1 200 OK\r\nT-Signature: s\r\nT-Request: " +
+                 std::string(headerOf(Request.Fields, "T-Request")) +
+                 "\r\n\r\n",
+        .Endless = std::string(16'384, 'x')};
+  });
+  Targets[0]->setLoad("0,0,1000,100");
+  const std::size_t Before = residentBytes();
+  std::vector<std::unique_ptr<test_caller>> Waiting;
+  for (int Number = 0; Number < Callers; ++Number) {
+    Waiting.push_back(std::make_unique<test_caller>(Loop, false));
+    Waiting.back()->send(request("POST", "/write/x", "b"));
+  }
+  std::size_t Peak = Before;
+  CHECK_TRUE(runUntil([&] {
+    Peak = std::max(Peak, residentBytes());
+    return Targets[0]->endlessClosed() == Callers;
+  }));
+  CHECK_EQUAL(static_cast<std::size_t>(Callers), arrived());
+  CHECK_TRUE(Peak - Before < MaxGrowth);
+}
+
+TEST(TargetTrouble, aLongAnswerIsPassedOnWhileItComes) {
+  const std::string Body(std::size_t(5) << 20U, 'y');
+  addTarget([&Body](const seen_request &Request) {
+    if (Request.Target == "/write/sized")
+      return target_action{.Bytes = scripted_target::ok(Request, Body)};
+    return target_action{.Bytes = "HTTP/1.1 200 OK\r\nT-Request: id1\r\n"
+                                  "T-Signature: s\r\n\r\n" +
+                                  Body,
+                         .Close = true};
+  });
+  for (const char *Path : {"/write/sized", "/write/unsized"}) {
+    test_caller Caller(Loop);
+    Caller.send(request("POST", Path, "b"));
+    const bool Sized = std::string(Path) == "/write/sized";
+    const auto Passed = [&Caller] {
+      return static_cast<std::size_t>(
+          std::count(Caller.Received.begin(), Caller.Received.end(), 'y'));
+    };
+    CHECK_TRUE(runUntil([&] {
+      return Caller.Received.size() > Body.size() && Passed() == Body.size() &&
+             (Sized || Caller.Received.ends_with("\r\n0\r\n\r\n"));
+    }));
+    CHECK_EQUAL(Body.size(), Passed());
+    STRCMP_CONTAINS(Sized ? "Content-Length: 5242880" : "chunked",
+                    Caller.Received.substr(0, 200).c_str());
+    // The connection serves the next request.
+    Caller.Received.clear();
+    Caller.send(request("GET", "/other/x"));
+    CHECK_TRUE(runUntil([&] { return !Caller.Received.empty(); }));
+    STRCMP_CONTAINS("HTTP/1.1 404", Caller.Received.c_str());
+    Caller.close();
+  }
+}
+
+TEST(TargetTrouble, aLongAnswerThatBreaksOffNeverLooksWhole) {
+  addTarget([](const seen_request &Request) {
+    std::string Bytes =
+        Request.Target == "/write/chunked"
+            ? "HTTP/1.1 200 OK\r\nT-Request: id1\r\nT-Signature: s\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n100000\r\n"
+            : "HTTP/1.1 200 OK\r\nT-Request: id1\r\nT-Signature: s\r\n"
+              "Content-Length: 2000000\r\n\r\n";
+    return target_action{.Bytes = Bytes + std::string(1'000'000, 'y'),
+                         .Close = true};
+  });
+  for (const char *Path : {"/write/chunked", "/write/sized"}) {
+    test_caller Caller(Loop);
+    Caller.send(request("POST", Path, "b"));
+    CHECK_TRUE(runUntil([&Caller] { return Caller.Ended; }));
+    STRCMP_CONTAINS("HTTP/1.1 200", Caller.Received.c_str());
+    CHECK_FALSE(Caller.Received.ends_with("0\r\n\r\n"));
+    CHECK_TRUE(Caller.Received.size() < 1'500'000);
+  }
+  // Nothing that was begun is replaced or run again.
+  CHECK_EQUAL(2U, arrived());
+}
--- a/modules/placement/include/fulmar/placement/admission.h
+++ b/modules/placement/include/fulmar/placement/admission.h
@@ -48,6 +48,13 @@
 /// \p Spread in [0, 1) keeps callers that were refused together apart.
 base::duration returnAfter(const admission_request &Request, double Spread);
 
+/// Like returnAfter(), where no target takes work for \p Closed: spread over as
+/// long a time again, so that those who were refused meanwhile don't return in
+/// one wave.
+base::duration returnAfterClosure(base::duration Closed,
+                                  const admission_request &Request,
+                                  double Spread);
+
 } // namespace fulmar::placement
 
 #endif // FULMAR_PLACEMENT_ADMISSION_H
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -16,6 +16,7 @@
 #include "fulmar/fleet/targetreport.h"
 #include "fulmar/placement/coldlimiter.h"
 #include "fulmar/placement/loadreport.h"
+#include "fulmar/placement/targetwish.h"
 #include "fulmar/routing/outlierdetector.h"
 #include "fulmar/routing/servicetimes.h"
 
@@ -81,6 +82,15 @@
   void standBack(const std::string &Target, base::duration Time,
                  base::instant Now);
 
+  /// What \p Target said in an answer. It gets nothing while it is leaving or
+  /// wants nothing, neither looks nor as a last resort. Returns false where
+  /// that was known.
+  bool wished(const std::string &Target, const target_wish &Wish,
+              base::instant Now);
+  /// When some target takes work: \p Now or later; empty where all of them are
+  /// leaving, or there are none.
+  [[nodiscard]] std::optional<base::instant> opensAt(base::instant Now) const;
+
   /// True when a request may be sent to \p Target now, cold or not; counts it.
   bool admit(const std::string &Target, base::instant Now);
   void sent(const std::string &Target);
@@ -123,8 +133,13 @@
     /// Failed requests, halved by each one that ends well.
     std::uint32_t Failures = 0;
     base::instant FaultyUntil{};
+    /// Until when the target wants nothing.
+    base::instant ClosedUntil{};
+    bool Leaving = false;
   };
-  enum class standing : std::uint8_t { Usable, Cold, Away };
+  /// One run of a target: its id and start.
+  using target_run = std::pair<std::string, std::int64_t>;
+  enum class standing : std::uint8_t { Usable, Cold, Away, Closed };
 
   [[nodiscard]] standing standingOf(const std::string &Id, const target &Held,
                                     base::instant Now);
@@ -139,6 +154,9 @@
   cold_limiter &Cold;
   base::random_source Random;
   std::map<std::string, target> Targets;
+  /// Runs that said they leave, and when: a run that is listed again is still
+  /// leaving.
+  std::map<target_run, base::instant> LeavingRuns;
   routing::outlier_detector Health;
   routing::service_times Times;
   /// Looks in a row that were answered without a load.
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -76,4 +76,11 @@
   return std::max(MinReturn, scaled(Latest, (1 + Spread) / 2));
 }
 
+base::duration returnAfterClosure(base::duration Closed,
+                                  const admission_request &Request,
+                                  double Spread) {
+  return std::max(returnAfter(Request, Spread),
+                  Closed + scaled(Closed, Spread));
+}
+
 } // namespace fulmar::placement
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -30,6 +30,12 @@
 /// a look's usual time.
 constexpr base::duration LookLimit = std::chrono::milliseconds(25);
 
+/// Part by which a pause that a target asked for is drawn out at most, so that
+/// the entries that it told the same do not return together.
+constexpr double PauseSpread = 0.25;
+/// Targets that leave are gone long before.
+constexpr base::duration LeavingMemory = std::chrono::minutes(10);
+
 constexpr routing::outlier_options HealthOptions{
     .MaxEjectedShare = 0.5,
     .BaseEjection = std::chrono::seconds(1),
@@ -64,6 +70,7 @@
       Target.ColdByReport = true;
     }
     Target.Report = Report;
+    Target.Leaving = LeavingRuns.contains({Report.Id, Report.StartedAtMs});
     Target.Rank = base::digest(Report.Id, Options.Seed);
     if (!SameRun)
       Health.restarted(idOf(Report.Id));
@@ -77,6 +84,8 @@
 service_placement::standing service_placement::standingOf(const std::string &Id,
                                                           const target &Held,
                                                           base::instant Now) {
+  if (Held.Leaving || Now < Held.ClosedUntil)
+    return standing::Closed;
   if (Now < Held.AwayUntil || Now < Held.FaultyUntil ||
       (Held.Looks > 0 && Now - Held.LookingSince >= LookLimit))
     return standing::Away;
@@ -188,10 +197,50 @@
     Found->second.AwayUntil = std::max(Found->second.AwayUntil, Now + Time);
 }
 
-bool service_placement::admit(const std::string &Target, base::instant Now) {
+bool service_placement::wished(const std::string &Target,
+                               const target_wish &Wish, base::instant Now) {
   const auto Found = Targets.find(Target);
   if (Found == Targets.end())
     return false;
+  target &Held = Found->second;
+  bool News = false;
+  if (Wish.Leaving && !Held.Leaving) {
+    Held.Leaving = News = true;
+    std::erase_if(LeavingRuns, [Now](const auto &Run) {
+      return Now - Run.second > LeavingMemory;
+    });
+    LeavingRuns[{Held.Report.Id, Held.Report.StartedAtMs}] = Now;
+  }
+  if (Wish.Pause.count() > 0) {
+    News = News || Now >= Held.ClosedUntil;
+    const double Factor = 1 + PauseSpread * absl::Uniform(Random, 0.0, 1.0);
+    const auto Pause = base::duration(static_cast<base::duration::rep>(
+        static_cast<double>(Wish.Pause.count()) * Factor));
+    Held.ClosedUntil = std::max(Held.ClosedUntil, Now + Pause);
+  }
+  return News;
+}
+
+std::optional<base::instant>
+service_placement::opensAt(base::instant Now) const {
+  std::optional<base::instant> Earliest;
+  for (const auto &[Id, Held] : Targets) {
+    if (Held.Leaving)
+      continue;
+    const base::instant Opens = std::max(Now, Held.ClosedUntil);
+    if (!Earliest || Opens < *Earliest)
+      Earliest = Opens;
+    if (Opens == Now)
+      break;
+  }
+  return Earliest;
+}
+
+bool service_placement::admit(const std::string &Target, base::instant Now) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end() || Found->second.Leaving ||
+      Now < Found->second.ClosedUntil)
+    return false;
   if (Now >= Found->second.ColdUntil)
     return true;
   return Cold.take(Target, Options.WarmUpRate, Now);
