Let every control instance of 19 vote, and bundle commits and notices

Cause: with 15 voters at most, four of the large deployment's 19 control instances held no copy, and answered look-ups and reports with 503 (21 % and 15 % there). A commit also cost one notice to each of 449 entries and one encoded copy of the changes for each of them, which fills an instance's processor while hundreds of targets come and go. Now up to 25 vote, so that a majority of the instances in use is a quorum; flushes of the log are 5 ms apart, notices 200 ms, and the changes behind a serial are encoded once. Ruled out: copies without a vote, whose majority would differ from that of the instances; fewer machines, which would leave fewer look-ups for each.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -115,6 +115,11 @@
                 const call_handler &Done);
   void sendTo(const std::string &Peer, const fleetlink::link_message &Message);
   void announce();
+  /// Announces what has changed, at once or after the pause that keeps many
+  /// changes in a row from becoming as many notices to each entry.
+  void announceSoon();
+  /// The encoded changes behind \p Since; entries mostly ask for the same ones.
+  const std::string &changesSince(publication::serial Since);
   void maintain();
   void askForPlace();
   void removeSurplusVoter();
@@ -147,12 +152,20 @@
   /// What each peer said of the members last.
   std::map<std::string, std::vector<std::string>> ListedBy;
   publication::serial Announced = 0;
+  base::instant AnnouncedAt{};
+  bool AnnounceScheduled = false;
+  /// Encoded answers, by what was asked; valid for the serial EncodedFor.
+  std::map<publication::serial, std::string> EncodedChanges;
+  publication::serial EncodedFor = 0;
   std::vector<std::string> AnnouncedControls;
   /// Expires with this object; posted work checks it.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool FlushScheduled = false;
+  base::instant FlushedAt{};
   bool Failed = false;
   eventloop::timer Ticker;
+  eventloop::timer FlushPause;
+  eventloop::timer AnnouncePause;
   eventloop::timer Announcer;
   eventloop::timer Maintainer;
   eventloop::timer HandOverLimit;
--- a/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
+++ b/modules/controlnode/include/fulmar/controlnode/voterkeeper.h
@@ -15,10 +15,10 @@
 
 namespace fulmar::controlnode {
 
-/// Voters of the log. An instance without a vote holds no copy, so that this
-/// covers the largest deployments that are described, with 12 instances; each
-/// voter costs the leader some ten small messages a second.
-inline constexpr std::size_t MaxVoters = 15;
+/// Voters of the log. All control instances vote, so that whatever majority of
+/// them is connected can commit. This covers the largest deployment that is
+/// described, 19 instances, and as many again as may be added to it.
+inline constexpr std::size_t MaxVoters = 25;
 
 struct voter_change {
   enum class kind : std::uint8_t { Add, Remove };
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -86,8 +86,7 @@
 
 void control_node::take(const link_ptr &Link,
                         const fleetlink::fetch_request &Request) {
-  Link->send(fleetlink::encodeLink(
-      fleetlink::fetch_reply{State.published().changesSince(Request.Since)}));
+  Link->send(changesSince(Request.Since));
 }
 
 void control_node::take(const link_ptr & /*Link*/,
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <random>
+#include <utility>
 
 namespace fulmar::controlnode {
 
@@ -24,6 +25,13 @@
 constexpr auto TickInterval = std::chrono::milliseconds(25);
 /// Three of these fit into the silence after which a peer reconnects.
 constexpr auto AnnounceInterval = std::chrono::milliseconds(400);
+/// Between two notices of changes: a tenth of the shortest time in which a
+/// change must be in force, so that hundreds of targets that come and go cost
+/// each entry a few notices a second.
+constexpr base::duration NoticePause = std::chrono::milliseconds(200);
+/// Between two flushes of the log: some syncs of a disk. What comes meanwhile
+/// is committed together, by one message to each voter.
+constexpr base::duration FlushGap = std::chrono::milliseconds(5);
 constexpr auto MaintainInterval = std::chrono::milliseconds(500);
 /// Time that a call of this instance's own may take.
 constexpr auto OwnCallLimit = std::chrono::seconds(2);
@@ -61,7 +69,8 @@
                            telemetry::metrics &Registry)
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
       Server(Loop), Voters(Options.DeadVoterLimit), Ticker(Loop),
-      Announcer(Loop), Maintainer(Loop), HandOverLimit(Loop) {}
+      FlushPause(Loop), AnnouncePause(Loop), Announcer(Loop), Maintainer(Loop),
+      HandOverLimit(Loop) {}
 
 control_node::~control_node() {
   for (const auto &[Raw, Held] : Accepted)
@@ -149,15 +158,19 @@
   if (FlushScheduled)
     return;
   FlushScheduled = true;
+  const base::duration Since = Loop.now() - FlushedAt;
+  if (Since < FlushGap)
+    return FlushPause.after(FlushGap - Since, [this] { flush(); });
   Loop.post([this, Mine = std::weak_ptr(Alive)] {
-    if (Mine.expired())
-      return;
-    FlushScheduled = false;
-    flush();
+    if (!Mine.expired())
+      flush();
   });
 }
 
 void control_node::flush() {
+  FlushScheduled = false;
+  FlushPause.cancel();
+  FlushedAt = Loop.now();
   consensus::outputs Outputs = Log->flush(Loop.now());
   if (Outputs.Fatal)
     return fail(*Outputs.Fatal);
@@ -171,7 +184,28 @@
   for (const consensus::completion &Completion : Outputs.Completions)
     finish(Completion);
   if (State.published().latest() != Announced)
-    announce();
+    announceSoon();
+}
+
+void control_node::announceSoon() {
+  const base::duration Since = Loop.now() - AnnouncedAt;
+  if (Since >= NoticePause)
+    return announce();
+  if (std::exchange(AnnounceScheduled, true))
+    return;
+  AnnouncePause.after(NoticePause - Since, [this] { announce(); });
+}
+
+const std::string &control_node::changesSince(publication::serial Since) {
+  const publication::serial Latest = State.published().latest();
+  if (EncodedFor != Latest)
+    EncodedChanges.clear();
+  EncodedFor = Latest;
+  const auto [Place, New] = EncodedChanges.try_emplace(Since);
+  if (New)
+    Place->second = fleetlink::encodeLink(
+        fleetlink::fetch_reply{State.published().changesSince(Since)});
+  return Place->second;
 }
 
 void control_node::onRoleChange(const consensus::role_change &Change) {
@@ -267,6 +301,9 @@
 
 void control_node::announce() {
   Announced = State.published().latest();
+  AnnouncedAt = Loop.now();
+  AnnounceScheduled = false;
+  AnnouncePause.cancel();
   std::string Notices[2] = {fleetlink::encodeLink(notice())};
   if (std::vector<std::string> Members = controls();
       Members != AnnouncedControls) {
