Leave targets alone that refuse though they have room

It now pauses for 0.5 s, doubled by each further refusal, within the quarter of the targets that may pause. A request that was cut off by its route's short time no longer marks its target: only one that ran for twice its objective does. Ruled out: the two seconds of a failure, since a queue that was full empties sooner.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -349,10 +349,11 @@
 void exchange::onTimeout() {
   if (Streaming)
     return endStream(attempt_quality::Error, "the answer took too long");
+  const base::instant Now = State.Loop.now();
+  const std::chrono::milliseconds Objective(Route->ObjectiveMs);
   for (const attempt &Attempt : Attempts) {
-    // It hung, or dropped the request without a word.
-    if (Attempt.Running)
-      Service->Placement.failed(Attempt.Target, State.Loop.now());
+    if (Attempt.Running && placement::isHung(Now - Attempt.SentAt, Objective))
+      Service->Placement.failed(Attempt.Target, Now);
   }
   if (anyRunning()) {
     MayHaveRun = true;
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -40,6 +40,11 @@
 /// for several rounds of looks, few enough that their connections stay in use.
 inline constexpr std::size_t NearTargets = 10;
 
+/// A request that has been at its target for so long is taken to be lost there:
+/// the target hangs, or dropped it without a word. Routes whose time is shorter
+/// say nothing about their targets.
+bool isHung(base::duration Elapsed, base::duration Objective);
+
 /// Which targets a request may be given.
 struct candidate_query {
   /// Targets that the request has looked at or been sent to.
@@ -101,6 +106,9 @@
   /// too little of each target to wait for an error rate: one failure is far
   /// more likely of a faulty target, and those that fail at once look idle.
   void failed(const std::string &Target, base::instant Now);
+  /// The target turned a request away although it had room: it sheds load, or
+  /// others came first. Left alone like one that failed, but for less long.
+  void refused(const std::string &Target, base::instant Now);
 
   /// Requests of this entry at the target.
   [[nodiscard]] hidden_requests inFlight(const std::string &Target) const;
@@ -149,6 +157,10 @@
   }
   /// Orders targets of equal standing: the nearest first, drawn among those.
   void arrange(std::vector<const target *> &Equals);
+  /// A pause of \p First, doubled by each further failure, unless too many
+  /// targets pause already.
+  void leaveAlone(const std::string &Target, base::duration First,
+                  base::instant Now);
 
   placement_options Options;
   cold_limiter &Cold;
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -20,6 +20,10 @@
 /// Pause after a failed request; doubled by each further failure. Faults of
 /// targets last for seconds.
 constexpr base::duration FailurePause = std::chrono::seconds(2);
+/// The same after a refusal: as long as a queue takes to empty.
+constexpr base::duration RefusalPause = std::chrono::milliseconds(500);
+/// Objectives after which a request is taken to be lost at its target.
+constexpr int HungObjectives = 2;
 /// Part of the targets that may pause for failures: beyond that, requests that
 /// any target would fail are the likelier cause.
 constexpr double MaxFaultyShare = 0.25;
@@ -267,7 +271,20 @@
   Found->second.Failures /= 2;
 }
 
+bool isHung(base::duration Elapsed, base::duration Objective) {
+  return Elapsed >= Objective * HungObjectives;
+}
+
 void service_placement::failed(const std::string &Target, base::instant Now) {
+  leaveAlone(Target, FailurePause, Now);
+}
+
+void service_placement::refused(const std::string &Target, base::instant Now) {
+  leaveAlone(Target, RefusalPause, Now);
+}
+
+void service_placement::leaveAlone(const std::string &Target,
+                                   base::duration First, base::instant Now) {
   const auto Found = Targets.find(Target);
   if (Found == Targets.end())
     return;
@@ -280,7 +297,7 @@
     return;
   const std::uint32_t Doublings =
       std::min(MaxDoublings, Found->second.Failures++);
-  Found->second.FaultyUntil = Now + FailurePause * (1U << Doublings);
+  Found->second.FaultyUntil = Now + First * (1U << Doublings);
 }
 
 hidden_requests service_placement::inFlight(const std::string &Target) const {
--- a/modules/placement/tests/serviceplacement_tests.cpp
+++ b/modules/placement/tests/serviceplacement_tests.cpp
@@ -175,6 +175,29 @@
   CHECK_TRUE(contains(Placement.candidates(All, at(8'300)), "t0"));
 }
 
+// Load: a tenth of the targets turn part of their requests away at once, though
+// they say that they have room.
+TEST(ServicePlacement, aTargetThatRefusesThoughItHasRoomIsLeftAloneForLess) {
+  std::vector<fleet::target_report> Many;
+  for (int Number = 0; Number < 8; ++Number)
+    Many.push_back(target("t" + std::to_string(Number), "pos"));
+  Placement.setTargets(Many, at(0));
+  const candidate_query All{.Count = 8, .FillAbroad = false};
+  Placement.refused("t0", at(0));
+  CHECK_FALSE(contains(Placement.candidates(All, at(400)), "t0"));
+  CHECK_TRUE(contains(Placement.candidates(All, at(600)), "t0"));
+  Placement.refused("t0", at(600));
+  CHECK_FALSE(contains(Placement.candidates(All, at(1'500)), "t0"));
+  CHECK_TRUE(contains(Placement.candidates(All, at(1'700)), "t0"));
+}
+
+// Load: routes with times shorter than the work, beside targets that hang.
+TEST(ServicePlacement, onlyRequestsFarBeyondTheirObjectiveCountAsLost) {
+  CHECK_FALSE(isHung(milliseconds(400), milliseconds(600)));
+  CHECK_FALSE(isHung(milliseconds(1'100), milliseconds(600)));
+  CHECK_TRUE(isHung(milliseconds(1'200), milliseconds(600)));
+}
+
 // Load: a request that every target fails is sent again and again.
 TEST(ServicePlacement, failuresEverywhereLeaveMostTargetsInUse) {
   std::vector<fleet::target_report> Many;
