Let callers come back soon that were refused beside free slots

Cause: a caller that a target turned away although it had room was told to come back anywhere within the time that its request had to spare, up to a third of its deadline; with shedding targets the second try was then late. It is now told a quarter to a half of its request's usual time. Where no target has room, and where a whole service takes no work, nothing changed. Ruled out: more sends of our own, whose number is bounded over all entries while callers' resends are not.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -282,6 +282,7 @@
   Choosing = false;
   if (anyRunning())
     return hedgeLater();
+  TurnedAway = false;
   if (Attempts.empty())
     LastFailure =
         closedFor() == base::duration()
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -166,6 +166,8 @@
   std::vector<attempt> Attempts;
   /// Some send may have run at its target.
   bool MayHaveRun = false;
+  /// The last send was refused by a target that seemed to have room.
+  bool TurnedAway = false;
   /// Why the answer is not a target's; empty when it is.
   std::string Cause;
   base::error LastFailure{base::error_kind::NoTarget, "no target"};
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -123,6 +123,8 @@
   if (Times == nullptr)
     return UnroutedReturn;
   const double Spread = absl::Uniform(State.Random, 0.0, 1.0);
+  if (TurnedAway && closedFor() == base::duration())
+    return placement::returnAfterRefusal(admissionRequest(), Spread);
   return placement::returnAfterClosure(
       Service ? closedFor().value_or(base::duration()) : base::duration(),
       admissionRequest(), Spread);
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -191,7 +191,8 @@
     LastFailure = {base::error_kind::Saturated,
                    "target " + Attempts[Index].Target + " refused with " +
                        std::to_string(Answer.Status)};
-    if (Answer.Status != Misdirected)
+    TurnedAway = Answer.Status != Misdirected;
+    if (TurnedAway)
       Service->Placement.refused(Attempts[Index].Target, State.Loop.now());
     endAttempt(Index, attempt_quality::Error);
     return sendAgain();
--- a/modules/placement/include/fulmar/placement/admission.h
+++ b/modules/placement/include/fulmar/placement/admission.h
@@ -48,6 +48,12 @@
 /// \p Spread in [0, 1) keeps callers that were refused together apart.
 base::duration returnAfter(const admission_request &Request, double Spread);
 
+/// Like returnAfter(), where targets that had room turned the request away: the
+/// next one may well take it, so that only callers that were refused together
+/// are kept apart.
+base::duration returnAfterRefusal(const admission_request &Request,
+                                  double Spread);
+
 /// Like returnAfter(), where no target takes work for \p Closed: spread over as
 /// long a time again, so that those who were refused meanwhile don't return in
 /// one wave.
--- a/modules/placement/internal/admission.cpp
+++ b/modules/placement/internal/admission.cpp
@@ -76,6 +76,13 @@
   return std::max(MinReturn, scaled(Latest, (1 + Spread) / 2));
 }
 
+base::duration returnAfterRefusal(const admission_request &Request,
+                                  double Spread) {
+  const base::duration Soonest =
+      std::max(MinReturn, scaled(Request.UsualTime, SoonestReturn));
+  return std::min(returnAfter(Request, Spread), scaled(Soonest, 1 + Spread));
+}
+
 base::duration returnAfterClosure(base::duration Closed,
                                   const admission_request &Request,
                                   double Spread) {
--- a/modules/placement/tests/admission_tests.cpp
+++ b/modules/placement/tests/admission_tests.cpp
@@ -73,6 +73,25 @@
   CHECK_TRUE(returnAfter(Late, 0.99) <= Late.ToEnd / 3);
 }
 
+// Load: targets turn a part of all requests away at random, with slots free.
+// A caller that comes back at once is still on time.
+TEST(Admission, callersThatWereTurnedAwayBesideFreeSlotsComeBackSoon) {
+  const base::duration Last = returnAfterRefusal(Fresh, 0.99);
+  CHECK_TRUE(Last <= Fresh.UsualTime / 2);
+  CHECK_TRUE(returnAfterRefusal(Fresh, 0) < Last);
+  admission_request Late = Fresh;
+  Late.ToObjective = milliseconds(0);
+  CHECK_TRUE(returnAfterRefusal(Late, 0.99) <= Late.ToEnd / 3);
+}
+
+TEST(Admission, callersComeBackSpreadAfterAServiceTakesWorkAgain) {
+  const base::duration Closed = milliseconds(700);
+  CHECK_TRUE(returnAfterClosure(Closed, Fresh, 0) >= Closed);
+  CHECK_TRUE(returnAfterClosure(Closed, Fresh, 0.99) >
+             Closed + milliseconds(600));
+  CHECK_TRUE(returnAfterClosure({}, Fresh, 0.5) == returnAfter(Fresh, 0.5));
+}
+
 TEST_GROUP(OverloadReplay){};
 
 namespace {
