Count a request's time from its head, and answer everything at a planned stop

Causes, each shown by a test that failed before: * The time of an upload counted from the end of its body, so that its target was handed, and its route kept, up to half a second more than the caller waits (Gateway.aSlowUploadsTimeCountsFromItsHead). * When a stopping entry closed its acceptor, connections that the kernel had accepted already were reset (connectionsThatWaitWhenAStopEndsTheirAcceptance AreServed). They are taken first. * What still ran or waited at the end of the grace was cut off without an answer; it gets 502, or 503 where it was never sent (aStopAnswersWhatItCanNotFinish). * With a grace of ten seconds callers were taken for four, too late for long requests to end: now for 2.5 s at most. Ruled out: closing the acceptor at once, since callers keep an answer of the directory for seconds.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -58,18 +58,19 @@
 void exchange::start(handler Done) {
   OnDone = std::move(Done);
   ++State.Running;
+  StartedAt = State.Loop.now();
   RequestId = headerOf(Request.Fields, State.Options.Dialect.RequestId);
   begin();
 }
 
 void exchange::begin() {
-  const bool MayWait = State.Loop.now() - Request.ArrivedAt < PlanWait;
+  const bool MayWait = State.Loop.now() - StartedAt < PlanWait;
   if (!State.Routes.plan() && MayWait)
     return RoundTimer.after(PlanPoll,
                             [Self = shared_from_this()] { Self->begin(); });
   if (!admit())
     return;
-  Service->Retries.arrived(Request.ArrivedAt);
+  Service->Retries.arrived(StartedAt);
   Overall.after(std::max(base::duration(1), End - State.Loop.now()),
                 [Self = shared_from_this()] { Self->onTimeout(); });
   if (Service->Waiters.anyBefore(waiterKey()))
@@ -347,6 +348,16 @@
   startRound();
 }
 
+void exchange::expire() {
+  if (!OnDone)
+    return;
+  if (Streaming)
+    return endStream(attempt_quality::Cancelled, "the instance ends");
+  MayHaveRun = MayHaveRun || anyRunning();
+  LastFailure = {base::error_kind::Stopping, "the instance ends"};
+  giveUp();
+}
+
 void exchange::onTimeout() {
   if (Streaming)
     return endStream(attempt_quality::Error, "the answer took too long");
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -24,6 +24,8 @@
   std::string Target;
   http::fields Fields;
   shared_body Body;
+  /// When the head was complete: callers count their time from there, not from
+  /// the end of a long body.
   base::instant ArrivedAt{};
 };
 
@@ -52,6 +54,9 @@
   void readPiece(target_channel::piece_handler Done);
   /// The caller has gone: work at targets is cancelled.
   void cancel();
+  /// This instance ends: the caller gets a final answer now, or the end of one
+  /// that is being passed on.
+  void expire();
   /// While it waits: a slot at \p Target has become free.
   void targetFreed(const std::string &Target);
 
@@ -143,6 +148,7 @@
   /// Same for every resend of the request.
   std::uint64_t Fingerprint = 0;
   bool Idempotent = false;
+  base::instant StartedAt{};
   base::instant End{};
   /// Of the route; owned by the gateway's state.
   placement::route_times *Times = nullptr;
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -72,9 +72,12 @@
 }
 
 void exchange::readPiece(target_channel::piece_handler Done) {
-  OnPiece = std::move(Done);
+  // Its time may have ended between two pieces.
   if (!Streaming)
-    return;
+    return State.Loop.post([Done = std::move(Done)] {
+      Done(base::fail(base::error_kind::TruncatedAnswer, "ended before"));
+    });
+  OnPiece = std::move(Done);
   Attempts[*Streaming].Channel->readPiece(
       [Self = shared_from_this()](base::result<answer_piece> Piece) {
         if (!Piece)
@@ -89,7 +92,8 @@
 void exchange::endStream(attempt_quality Quality, std::string_view Why) {
   const std::size_t Index = *std::exchange(Streaming, std::nullopt);
   if (Quality != attempt_quality::Good) {
-    Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
+    if (Quality != attempt_quality::Cancelled)
+      Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
     Attempts[Index].Channel->close();
   }
   endAttempt(Index, Quality);
--- a/modules/gateway/internal/frontsession.cpp
+++ b/modules/gateway/internal/frontsession.cpp
@@ -100,7 +100,7 @@
       return onParseError(Failed);
     if (Parser->is_header_done() && !HeadDone) {
       HeadDone = true;
-      WaitSince = State.Loop.now();
+      WaitSince = HeadAt = State.Loop.now();
     }
     if (Taken > 0 && HeadDone)
       WaitSince = State.Loop.now();
@@ -142,7 +142,7 @@
       .Target = std::string(Message.target()),
       .Fields = std::move(Message.base()),
       .Body = std::make_shared<const std::string>(std::move(Message.body())),
-      .ArrivedAt = State.Loop.now()};
+      .ArrivedAt = HeadAt};
   Exchange = std::make_shared<exchange>(State, std::move(Request));
   // The exchange may end within start().
   const auto Started = Exchange;
@@ -298,6 +298,11 @@
     refuse(408, "request-timeout");
 }
 
+void front_session::expire() {
+  if (const auto Running = Exchange)
+    Running->expire();
+}
+
 void front_session::close() {
   if (std::exchange(Closed, true))
     return;
--- a/modules/gateway/internal/frontsession.h
+++ b/modules/gateway/internal/frontsession.h
@@ -24,6 +24,8 @@
   /// too long or while the gateway is stopping.
   void sweep();
   void close();
+  /// This instance ends: answers what is still unanswered.
+  void expire();
   /// Between two requests, with nothing of the next one read.
   [[nodiscard]] bool idle() const {
     return !Exchange && !Writing && Pending.empty() && !Begun;
@@ -75,6 +77,8 @@
   /// When the present wait began: for a request, its head, its body, or for
   /// the caller to read its answer.
   base::instant WaitSince{};
+  /// When the head of the present request was complete.
+  base::instant HeadAt{};
   std::shared_ptr<exchange> Exchange;
 };
 
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -18,11 +18,15 @@
 
 constexpr auto SweepInterval = std::chrono::milliseconds(250);
 constexpr auto EvaluateInterval = std::chrono::milliseconds(500);
-/// Callers are still taken for this part of the grace after the order to stop:
-/// they keep an answer of the directory for some seconds.
+/// Callers are still taken for this part of the grace after the order to stop,
+/// and no longer than MaxAccept: they keep an answer of the directory for some
+/// seconds, but what is taken late may not end within the grace.
 constexpr double AcceptShare = 0.4;
-/// Part of the grace after which whatever still runs is left.
-constexpr double EndShare = 0.95;
+constexpr base::duration MaxAccept = std::chrono::milliseconds(2'500);
+/// Parts of the grace after which whatever still runs gets an answer of the
+/// gateway's own, and after which the process ends.
+constexpr double ExpireShare = 0.93;
+constexpr double EndShare = 0.96;
 /// A target that does not answer on an idle connection within this has lost it.
 constexpr base::duration RefreshLimit = std::chrono::seconds(1);
 constexpr auto StopPoll = std::chrono::milliseconds(50);
@@ -32,6 +36,28 @@
       static_cast<double>(Whole.count()) * Part));
 }
 
+void begin(gateway_state &State, tcp::socket Accepted) {
+  const auto Session =
+      std::make_shared<front_session>(State, std::move(Accepted));
+  State.Sessions.insert(Session);
+  Session->start();
+}
+
+/// Takes the connections that the kernel has accepted already, so that none of
+/// them is reset when the acceptor is closed.
+void stopAccepting(gateway_state &State) {
+  error_code Failed;
+  State.Acceptor->cancel(Failed);
+  State.Acceptor->non_blocking(true, Failed);
+  while (!Failed) {
+    tcp::socket Accepted(State.Loop.context());
+    State.Acceptor->accept(Accepted, Failed);
+    if (!Failed)
+      begin(State, std::move(Accepted));
+  }
+  State.Acceptor->close(Failed);
+}
+
 void accept(gateway_state &State) {
   State.Acceptor->async_accept([&State](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
@@ -39,10 +65,7 @@
     if (Failed)
       return State.AcceptRetry.after(eventloop::AcceptPause,
                                      [&State] { accept(State); });
-    const auto Session =
-        std::make_shared<front_session>(State, std::move(Socket));
-    State.Sessions.insert(Session);
-    Session->start();
+    begin(State, std::move(Socket));
     accept(State);
   });
 }
@@ -74,6 +97,13 @@
     Session->sweep();
 }
 
+void expireSessions(gateway_state &State) {
+  // Closing a session takes it out of the set.
+  const auto Sessions = State.Sessions;
+  for (const auto &Session : Sessions)
+    Session->expire();
+}
+
 void reportCrashes(gateway_state &State) {
   for (const routing::crash_report &Report : State.Crashes.takeReports()) {
     const std::string Fingerprint =
@@ -258,12 +288,14 @@
   const base::duration Grace = State->Options.Grace;
   State->StopTimer.every(StopPoll, [this, Begun, Grace] {
     const base::duration Elapsed = State->Loop.now() - Begun;
-    const bool Accepting = Elapsed < partOf(Grace, AcceptShare);
-    error_code Ignored;
+    const bool Accepting =
+        Elapsed < std::min(partOf(Grace, AcceptShare), MaxAccept);
     if (!Accepting && State->Acceptor->is_open())
-      State->Acceptor->close(Ignored);
+      stopAccepting(*State);
     const bool Quiet =
         !Accepting && State->Running == 0 && State->Sessions.empty();
+    if (!Quiet && Elapsed >= partOf(Grace, ExpireShare))
+      expireSessions(*State);
     if (!Quiet && Elapsed < partOf(Grace, EndShare))
       return;
     State->StopTimer.cancel();
--- a/modules/gateway/tests/gateway_tests.cpp
+++ b/modules/gateway/tests/gateway_tests.cpp
@@ -4,6 +4,8 @@
 #include "fulmar/testing/property.h"
 #include "tests/gatewayfixture.h"
 
+#include <thread>
+
 using namespace fulmar;
 using namespace fulmar::gateway;
 using std::chrono::milliseconds;
@@ -244,6 +246,71 @@
   STRCMP_EQUAL("abcdefg", Targets[0]->requests().at(0).Body.c_str());
 }
 
+TEST(Gateway, aSlowUploadsTimeCountsFromItsHead) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+  });
+  test_caller Caller(Loop);
+  const std::string Whole =
+      request("POST", "/write/x", "body", "T-Deadline: 900\r\n");
+  Caller.send(Whole.substr(0, Whole.size() - 2));
+  const base::instant LaterAt = Loop.now() + milliseconds(500);
+  runUntil([this, LaterAt] { return Loop.now() > LaterAt; });
+  Caller.send(Whole.substr(Whole.size() - 2));
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+  STRCMP_CONTAINS("ran", Caller.Received.c_str());
+  const auto Left =
+      parseWhole(headerOf(Targets[0]->requests().at(0).Fields, "T-Deadline"));
+  CHECK_TRUE(Left && *Left <= 400);
+  Caller.close();
+}
+
+TEST(Gateway, aStopAnswersWhatItCanNotFinish) {
+  Plan.Routes[0].TimeoutMs = Plan.Routes[1].TimeoutMs = 10'000;
+  addTarget([](const seen_request &) { return target_action{}; });
+  test_caller Runs(Loop);
+  Runs.send(request("POST", "/write/x", "b", "T-Deadline: 9000\r\n"));
+  CHECK_TRUE(runUntil([this] { return arrived() == 1; }));
+  Targets[0]->setLoad("4,0,4,100");
+  Plan.Routes[1].ObjectiveMs = 9'000;
+  ++Plan.Version;
+  apply();
+  test_caller Waits(Loop);
+  Waits.send(request("POST", "/write/x", "b", "T-Deadline: 9000\r\n"));
+  bool Stopped = false;
+  Gateway.stop([&Stopped] { Stopped = true; });
+  CHECK_TRUE(runUntil([&Stopped] { return Stopped; }));
+  STRCMP_CONTAINS("HTTP/1.1 502", Runs.Received.c_str());
+  // It was never sent, so the promise that it did not run is true.
+  STRCMP_CONTAINS("HTTP/1.1 503", Waits.Received.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Waits.Received.c_str());
+  Runs.close();
+  Waits.close();
+}
+
+TEST(Gateway, connectionsThatWaitWhenAStopEndsTheirAcceptanceAreServed) {
+  addTarget([](const seen_request &Request) {
+    return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+  });
+  bool Stopped = false;
+  Gateway.stop([&Stopped] { Stopped = true; });
+  const base::instant BeforeEnd = Loop.now() + milliseconds(540);
+  runUntil([this, BeforeEnd] { return Loop.now() > BeforeEnd; });
+  // The loop is busy while these connect, until callers are no longer taken.
+  constexpr int Count = 20;
+  std::vector<std::unique_ptr<test_caller>> Callers;
+  for (int Number = 0; Number < Count; ++Number) {
+    Callers.push_back(std::make_unique<test_caller>(Loop));
+    Callers.back()->send(request("GET", "/read/x"));
+  }
+  std::this_thread::sleep_for(milliseconds(120));
+  CHECK_TRUE(runUntil([&Stopped] { return Stopped; }));
+  for (const auto &Caller : Callers) {
+    STRCMP_CONTAINS("ran", Caller->Received.c_str());
+    Caller->close();
+  }
+}
+
 TEST(Gateway, aStopFinishesWhatRunsAndTakesNothingNew) {
   addTarget([](const seen_request &) { return target_action{}; });
   test_caller Caller(Loop);
