--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -2,6 +2,7 @@
 
 #include "internal/look.h"
 
+#include <algorithm>
 #include <charconv>
 #include <vector>
 
@@ -18,6 +19,10 @@
 constexpr base::duration MisdirectedPause = std::chrono::seconds(2);
 constexpr unsigned StatusOk = 200;
 constexpr double PercentAsUsual = 100;
+/// Numbers above any that a load header may hold name no load.
+constexpr double MaxLoadNumber = 1e6;
+/// No target stays cold for longer.
+constexpr std::uint64_t MaxColdMs = 600'000;
 
 std::vector<double> numbersIn(std::string_view List) {
   std::vector<double> Numbers;
@@ -29,7 +34,7 @@
     double Number = 0;
     const auto Read =
         std::from_chars(Part.data(), Part.data() + Part.size(), Number);
-    if (Read.ec != std::errc() || Number < 0)
+    if (Read.ec != std::errc() || !(Number >= 0) || Number > MaxLoadNumber)
       return {};
     Numbers.push_back(Number);
     List.remove_prefix(Comma == std::string_view::npos ? List.size()
@@ -79,6 +84,9 @@
   }
   const target_answer &Told = Answer.value();
   const auto Id = headerOf(Told.Fields, State.Options.Dialect.TargetId);
+  // It may be a late copy of another answer, and the look's own still to come.
+  if (Id.empty() || !Told.Whole)
+    Channel->taint();
   if (Id != Target.Id)
     Service->Placement.standBack(Target.Id, MisdirectedPause, Now);
   else if (Told.Status != StatusOk)
@@ -99,7 +107,7 @@
   if (Numbers.size() >= 4)
     Load.Slowdown = Numbers[3] / PercentAsUsual;
   if (const auto Cold = parseWhole(headerOf(Fields, Names.ColdLeft)))
-    Load.ColdLeft = std::chrono::milliseconds(*Cold);
+    Load.ColdLeft = std::chrono::milliseconds(std::min(*Cold, MaxColdMs));
   Good = true;
   AnsweredAt = State.Loop.now();
   InFlightThen = Service->Placement.inFlight(Target.Id);
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -276,9 +276,11 @@
     return;
   auto Digits = Value.substr(At + Parameter.size());
   Digits = Digits.substr(0, Digits.find_first_not_of("0123456789"));
+  constexpr std::uint64_t MaxSeconds = 3'600;
   if (const auto Seconds = parseWhole(Digits))
     IdleLimit = std::min<base::duration>(
-        DefaultIdleLimit, std::chrono::seconds(*Seconds) - IdleMargin);
+        DefaultIdleLimit,
+        std::chrono::seconds(std::min(*Seconds, MaxSeconds)) - IdleMargin);
 }
 
 void target_channel::onEnd(error_code Failed) {
--- a/modules/gateway/tests/scriptedtarget.cpp
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -13,10 +13,11 @@
 public:
   connection(const scripted_target &Owner, tcp::socket Accepted)
       : Socket(std::move(Accepted)), Id(Owner.Id), Script(Owner.Script),
-        Requests(Owner.Requests), Abandoned(Owner.Abandoned),
-        LoadText(Owner.LoadText), HealthHeaders(Owner.HealthHeaders),
-        EndlessBytes(Owner.EndlessBytes), EndlessClosed(Owner.EndlessClosed),
-        HealthDelay(Owner.HealthDelay), HealthTimer(Socket.get_executor()) {}
+        Requests(Owner.Requests), Latest(Owner.Latest),
+        Abandoned(Owner.Abandoned), LoadText(Owner.LoadText),
+        HealthHeaders(Owner.HealthHeaders), EndlessBytes(Owner.EndlessBytes),
+        EndlessClosed(Owner.EndlessClosed), HealthDelay(Owner.HealthDelay),
+        HealthTimer(Socket.get_executor()) {}
 
   void read() {
     Message = {};
@@ -29,6 +30,14 @@
         });
   }
 
+  void answerLate(const std::string &Body) {
+    const auto Bytes = std::make_shared<std::string>(
+        scripted_target::ok(Requests->back(), Body));
+    asio::async_write(Socket, asio::buffer(*Bytes),
+                      [Self = shared_from_this(),
+                       Bytes](error_code /*Failed*/, std::size_t /*Count*/) {});
+  }
+
 private:
   void onEnd() {
     if (Unanswered)
@@ -38,6 +47,7 @@
   void onRequest() {
     if (Message.target() == "/healthz")
       return replyHealth();
+    *Latest = weak_from_this();
     Requests->push_back({.Method = std::string(Message.method_string()),
                          .Target = std::string(Message.target()),
                          .Body = Message.body(),
@@ -91,6 +101,7 @@
   std::string Id;
   std::shared_ptr<script> Script;
   std::shared_ptr<std::vector<seen_request>> Requests;
+  std::shared_ptr<std::weak_ptr<connection>> Latest;
   std::shared_ptr<int> Abandoned;
   std::shared_ptr<std::string> LoadText;
   std::shared_ptr<std::string> HealthHeaders;
@@ -112,6 +123,11 @@
   accept();
 }
 
+void scripted_target::answerLate(const std::string &Body) {
+  if (const auto Connection = Latest->lock())
+    Connection->answerLate(Body);
+}
+
 void scripted_target::accept() {
   Acceptor.async_accept([this](error_code Failed, tcp::socket Socket) {
     if (Failed)
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -53,6 +53,8 @@
   void setHealthHeaders(std::string Lines) {
     *HealthHeaders = std::move(Lines);
   }
+  /// Answers the latest request, which the script left unanswered.
+  void answerLate(const std::string &Body);
   /// Bytes that were written of endless answers.
   [[nodiscard]] std::size_t endlessBytes() const { return *EndlessBytes; }
   /// Endless answers whose connection the other side has closed.
@@ -77,6 +79,8 @@
   std::shared_ptr<int> Abandoned = std::make_shared<int>(0);
   std::shared_ptr<std::string> LoadText =
       std::make_shared<std::string>("0,0,4,100");
+  std::shared_ptr<std::weak_ptr<connection>> Latest =
+      std::make_shared<std::weak_ptr<connection>>();
   std::shared_ptr<std::string> HealthHeaders = std::make_shared<std::string>();
   std::shared_ptr<std::size_t> EndlessBytes = std::make_shared<std::size_t>(0);
   std::shared_ptr<int> EndlessClosed = std::make_shared<int>(0);
