Spread entries that know nothing over the instances of their data centre

Cause: an entry asked whichever instance was heard first, mostly the first seed, so that hundreds of entries that start together asked one and the same instance for a full copy, and an instance of another data centre as often as not. It now waits 15 ms after the first one is heard, in which those that this one names are heard too, and asks one of its own data centre, another one for each entry. Ruled out: shuffled seeds alone, which leave three of 19 instances to answer all. Shown by FleetFeed.entriesThatKnowNothingAskTheInstancesOfTheirDataCentreEvenly (before: more than half of 30 entries asked one of six). Not yet measured on a site.

--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -74,6 +74,8 @@
   unsigned Unanswered = 0;
   eventloop::timer Ticker;
   eventloop::timer Announcer;
+  eventloop::timer FirstFetch;
+  bool FirstFetchArmed = false;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -2,10 +2,13 @@
 
 #include "fulmar/gateway/fleetfeed.h"
 
+#include "fulmar/base/rendezvous.h"
 #include "fulmar/telemetry/log.h"
 
 #include <algorithm>
 #include <memory>
+#include <tuple>
+#include <utility>
 
 namespace fulmar::gateway {
 
@@ -20,13 +23,18 @@
 /// each further question would bring another one.
 constexpr base::duration FetchLimit = std::chrono::milliseconds(300);
 constexpr unsigned MaxFetchDoublings = 3;
+/// An entry that knows nothing asks this long after the first instance was
+/// heard: some round trips, in which the instances that this one names are
+/// heard too.
+constexpr base::duration FirstFetchPause = std::chrono::milliseconds(15);
 
 } // namespace
 
 fleet_feed::fleet_feed(eventloop::loop &OwningLoop, fleet_feed_options Chosen,
                        view_handler Changed)
     : Loop(OwningLoop), Options(std::move(Chosen)),
-      OnChange(std::move(Changed)), Ticker(Loop), Announcer(Loop) {
+      OnChange(std::move(Changed)), Ticker(Loop), Announcer(Loop),
+      FirstFetch(Loop) {
   addSeeds(Options.Seeds);
   Ticker.every(TickInterval, [this] { tick(); });
   Announcer.every(AnnounceInterval,
@@ -86,7 +94,13 @@
                       const fleetlink::log_notice &Notice) {
   control_link &Link = Links[From];
   Link.Latest = Notice.Latest;
-  fetchIfBehind(false);
+  if (Items.latest() > 0 || Fetching)
+    return fetchIfBehind(false);
+  if (Notice.Latest > 0 && !std::exchange(FirstFetchArmed, true))
+    FirstFetch.after(FirstFetchPause, [this] {
+      FirstFetchArmed = false;
+      fetchIfBehind(true);
+    });
 }
 
 void fleet_feed::take(const std::string &From,
@@ -104,13 +118,20 @@
   const publication::serial Known = Items.latest();
   control_link *Best = nullptr;
   const std::string *From = nullptr;
+  // Who knows most, is near, and is another one for each entry: hundreds of
+  // entries that start together must not all ask the same instance.
+  using merit = std::tuple<publication::serial, bool, std::uint64_t>;
+  merit BestMerit;
   for (auto &[Address, Link] : Links) {
     const bool Local = Link.DataCentre == Options.Self.DataCentre;
+    const merit Merit(Link.Latest, Local,
+                      base::rendezvousWeight(Options.Self.Id, Address));
     if (Link.Dialer->connected() && (Link.Latest > Known || WantsAll) &&
         (Local || FromAnywhere || Known == 0) &&
-        (Best == nullptr || Link.Latest > Best->Latest)) {
+        (Best == nullptr || Merit > BestMerit)) {
       Best = &Link;
       From = &Address;
+      BestMerit = Merit;
     }
   }
   if (Best == nullptr)
@@ -137,7 +158,10 @@
   fetchIfBehind(false);
 }
 
-void fleet_feed::tick() { fetchIfBehind(true); }
+void fleet_feed::tick() {
+  if (!FirstFetchArmed)
+    fetchIfBehind(true);
+}
 
 void fleet_feed::announce() {
   sendAll(fleetlink::entry_notice{.Report = Options.Self, .Ready = Ready});
--- /dev/null
+++ b/modules/gateway/tests/fleetfeed_tests.cpp
@@ -0,0 +1,98 @@
+// Whom an entry asks for what it does not know.
+
+#include "fulmar/gateway/fleetfeed.h"
+#include "fulmar/testing/property.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A control instance that answers questions and counts them.
+class test_control {
+public:
+  test_control(eventloop::loop &Loop, std::string At, std::string Centre,
+               std::vector<std::string> Listed)
+      : Address(std::move(At)), DataCentre(std::move(Centre)),
+        All(std::move(Listed)), Server(Loop) {
+    Items.put("target/a", "x", 7);
+    CHECK_TRUE(Server.start(Address, [this](const auto &Link) { accept(Link); })
+                   .has_value());
+  }
+
+  [[nodiscard]] const std::string &dataCentre() const { return DataCentre; }
+  [[nodiscard]] int asked() const { return Asked; }
+
+private:
+  void accept(const std::shared_ptr<eventloop::frame_link> &Link) {
+    Links.push_back(Link);
+    Link->start(
+        [this, Raw = Link.get()](std::string_view Frame) {
+          const auto Message = fleetlink::decodeLink(Frame);
+          if (!Message || !std::holds_alternative<fleetlink::fetch_request>(
+                              Message.value()))
+            return;
+          ++Asked;
+          Raw->send(fleetlink::encodeLink(
+              fleetlink::fetch_reply{Items.changesSince(0)}));
+        },
+        [] {});
+    Link->send(
+        fleetlink::encodeLink(fleetlink::control_notice{DataCentre, All}));
+    Link->send(fleetlink::encodeLink(
+        fleetlink::log_notice{.Latest = 7, .ProofAgeMs = 0}));
+  }
+
+  std::string Address;
+  std::string DataCentre;
+  std::vector<std::string> All;
+  eventloop::frame_server Server;
+  std::vector<std::shared_ptr<eventloop::frame_link>> Links;
+  publication::published_items Items;
+  int Asked = 0;
+};
+
+} // namespace
+
+TEST_GROUP(FleetFeed){};
+
+// Load: after all machines have lost power, hundreds of entries that know
+// nothing ask for everything at the same moment, and all know the same seeds.
+TEST(FleetFeed, entriesThatKnowNothingAskTheInstancesOfTheirDataCentreEvenly) {
+  eventloop::loop Loop;
+  std::vector<std::string> Addresses;
+  for (int Number = 0; Number < 6; ++Number)
+    Addresses.push_back("127.0.0.1:1859" + std::to_string(Number));
+  std::vector<std::unique_ptr<test_control>> Controls;
+  for (std::size_t Number = 0; Number < Addresses.size(); ++Number)
+    Controls.push_back(std::make_unique<test_control>(
+        Loop, Addresses[Number], Number % 2 == 0 ? "pos" : "arima", Addresses));
+  constexpr int Entries = 30;
+  int Knowing = 0;
+  std::vector<std::unique_ptr<fleet_feed>> Feeds;
+  for (int Number = 0; Number < Entries; ++Number)
+    Feeds.push_back(std::make_unique<fleet_feed>(
+        Loop,
+        fleet_feed_options{.Self = {.Id = "entry-" + std::to_string(Number),
+                                    .Incarnation = "any",
+                                    .DataCentre = "pos"},
+                           .Seeds = {Addresses[1], Addresses[3], Addresses[5]}},
+        [&Knowing](const fleet_view &) { ++Knowing; }));
+  const base::instant End = Loop.now() + std::chrono::seconds(3);
+  while (Knowing < Entries && Loop.now() < End)
+    Loop.context().run_one_for(milliseconds(10));
+  CHECK_EQUAL(Entries, Knowing);
+  int Near = 0;
+  for (const auto &Control : Controls) {
+    Near += Control->dataCentre() == "pos" ? Control->asked() : 0;
+    CHECK_TRUE(Control->asked() <= Entries / 2);
+  }
+  // Only those that are reached too late by some entry are passed over.
+  CHECK_TRUE(Near >= Entries * 2 / 3);
+}
