Let an entry that starts wait for a copy that a quorum confirms

A withdrawn route or a target that had left was in use again. An entry without a copy now asks only instances whose proof is fresh, and takes an unconfirmed copy only after 1.5 s, so that it serves where no quorum can be had. An instance tells of its first proof at once. Ruled out: refusing without a quorum for ever, since entries that start while all control instances are gone from each other should serve; gating entries that hold a copy, whose serials only grow. Shown by FleetFeed.anEntryThatStartsWaitsForACopyThatAQuorumConfirms (failed before) and withoutAQuorumAnEntryThatStartsServesWithWhatThereIs.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -127,6 +127,8 @@
   void proposeQuietly(controlstate::command_body Body);
   void fail(const base::error &Cause);
   [[nodiscard]] fleetlink::log_notice notice() const;
+  /// A quorum has confirmed this instance's state lately.
+  [[nodiscard]] bool proven() const;
   [[nodiscard]] std::vector<std::string> controls() const;
 
   eventloop::loop &Loop;
@@ -154,6 +156,8 @@
   publication::serial Announced = 0;
   base::instant AnnouncedAt{};
   bool AnnounceScheduled = false;
+  /// The last notice told of a fresh proof.
+  bool AnnouncedProven = false;
   /// Encoded answers, by what was asked; valid for the serial EncodedFor.
   std::map<publication::serial, std::string> EncodedChanges;
   publication::serial EncodedFor = 0;
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -29,6 +29,8 @@
 /// change must be in force, so that hundreds of targets that come and go cost
 /// each entry a few notices a second.
 constexpr base::duration NoticePause = std::chrono::milliseconds(200);
+/// A proof of the quorum that is older says little about the present.
+constexpr base::duration FreshProof = std::chrono::seconds(1);
 /// Between two flushes of the log: some syncs of a disk. What comes meanwhile
 /// is committed together, by one message to each voter.
 constexpr base::duration FlushGap = std::chrono::milliseconds(5);
@@ -187,10 +189,18 @@
     onRoleChange(Change);
   for (const consensus::completion &Completion : Outputs.Completions)
     finish(Completion);
-  if (State.published().latest() != Announced)
+  // Entries that have just started wait for the first proof after a restart.
+  if (proven() && !AnnouncedProven)
+    announce();
+  else if (State.published().latest() != Announced)
     announceSoon();
 }
 
+bool control_node::proven() const {
+  const auto Age = Log->proofAge(Loop.now());
+  return Age && *Age <= FreshProof;
+}
+
 void control_node::announceSoon() {
   const base::duration Since = Loop.now() - AnnouncedAt;
   if (Since >= NoticePause)
@@ -306,6 +316,7 @@
 void control_node::announce() {
   Announced = State.published().latest();
   AnnouncedAt = Loop.now();
+  AnnouncedProven = proven();
   AnnounceScheduled = false;
   AnnouncePause.cancel();
   std::string Notices[2] = {fleetlink::encodeLink(notice())};
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
     std::unique_ptr<eventloop::frame_dialer> Dialer;
     std::string DataCentre;
     publication::serial Latest = 0;
+    /// A quorum has confirmed the instance's state lately.
+    bool Proven = false;
   };
 
   void dial(const std::string &Address);
@@ -52,6 +55,9 @@
   void take(const std::string &From, const fleetlink::control_notice &Notice);
   void take(const fleetlink::fetch_reply &Reply);
   void fetchIfBehind(bool FromAnywhere);
+  /// The instance may be asked for a first copy: what it holds is not older
+  /// than what it acknowledged before a restart, as far as that can be known.
+  [[nodiscard]] bool mayTeach(const control_link &Link) const;
   void tick();
   void announce();
   void sendAll(const fleetlink::link_message &Message);
@@ -76,6 +82,8 @@
   eventloop::timer Announcer;
   eventloop::timer FirstFetch;
   bool FirstFetchArmed = false;
+  /// When some instance first offered a copy.
+  std::optional<base::instant> FirstOfferAt;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -27,6 +27,11 @@
 /// heard: some round trips, in which the instances that this one names are
 /// heard too.
 constexpr base::duration FirstFetchPause = std::chrono::milliseconds(15);
+/// A proof of the quorum that is older says little about the present.
+constexpr std::int64_t FreshProofMs = 1'000;
+/// A first copy that no quorum confirms is taken after this: an election and
+/// its first proof take less where a quorum can be had at all.
+constexpr base::duration UnprovenPatience = std::chrono::milliseconds(1'500);
 
 } // namespace
 
@@ -66,6 +71,7 @@
                 telemetry::logChange(telemetry::log_level::Warning, "feed",
                                      "control-lost", {{"control", Address}});
                 Links[Address].Latest = 0;
+                Links[Address].Proven = false;
                 // What was asked of it does not come any more.
                 if (AskedOf == Address)
                   Fetching = false;
@@ -94,9 +100,12 @@
                       const fleetlink::log_notice &Notice) {
   control_link &Link = Links[From];
   Link.Latest = Notice.Latest;
+  Link.Proven = Notice.ProofAgeMs >= 0 && Notice.ProofAgeMs <= FreshProofMs;
+  if (Notice.Latest > 0 && !FirstOfferAt)
+    FirstOfferAt = Loop.now();
   if (Items.latest() > 0 || Fetching)
     return fetchIfBehind(false);
-  if (Notice.Latest > 0 && !std::exchange(FirstFetchArmed, true))
+  if (mayTeach(Link) && !std::exchange(FirstFetchArmed, true))
     FirstFetch.after(FirstFetchPause, [this] {
       FirstFetchArmed = false;
       fetchIfBehind(true);
@@ -110,6 +119,12 @@
     dial(Address);
 }
 
+bool fleet_feed::mayTeach(const control_link &Link) const {
+  return Link.Latest > 0 &&
+         (Link.Proven ||
+          (FirstOfferAt && Loop.now() - *FirstOfferAt >= UnprovenPatience));
+}
+
 void fleet_feed::fetchIfBehind(bool FromAnywhere) {
   const base::duration Limit =
       FetchLimit * (1U << std::min(Unanswered, MaxFetchDoublings));
@@ -126,8 +141,9 @@
     const bool Local = Link.DataCentre == Options.Self.DataCentre;
     const merit Merit(Link.Latest, Local,
                       base::rendezvousWeight(Options.Self.Id, Address));
+    const bool Teaches = Known > 0 || mayTeach(Link);
     if (Link.Dialer->connected() && (Link.Latest > Known || WantsAll) &&
-        (Local || FromAnywhere || Known == 0) &&
+        Teaches && (Local || FromAnywhere || Known == 0) &&
         (Best == nullptr || Merit > BestMerit)) {
       Best = &Link;
       From = &Address;
--- a/modules/gateway/tests/fleetfeed_tests.cpp
+++ b/modules/gateway/tests/fleetfeed_tests.cpp
@@ -4,6 +4,7 @@
 #include "fulmar/testing/property.h"
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,12 @@
 
   [[nodiscard]] const std::string &dataCentre() const { return DataCentre; }
   [[nodiscard]] int asked() const { return Asked; }
+  /// A quorum has confirmed what it holds; tells those that are connected.
+  void prove() {
+    Proven = true;
+    for (const auto &Link : Links)
+      tell(*Link);
+  }
 
 private:
   void accept(const std::shared_ptr<eventloop::frame_link> &Link) {
@@ -45,8 +52,12 @@
         [] {});
     Link->send(
         fleetlink::encodeLink(fleetlink::control_notice{DataCentre, All}));
-    Link->send(fleetlink::encodeLink(
-        fleetlink::log_notice{.Latest = 7, .ProofAgeMs = 0}));
+    tell(*Link);
+  }
+
+  void tell(eventloop::frame_link &Link) const {
+    Link.send(fleetlink::encodeLink(
+        fleetlink::log_notice{.Latest = 7, .ProofAgeMs = Proven ? 0 : -1}));
   }
 
   std::string Address;
@@ -56,8 +67,19 @@
   std::vector<std::shared_ptr<eventloop::frame_link>> Links;
   publication::published_items Items;
   int Asked = 0;
+  bool Proven = false;
 };
 
+constexpr const char *OnlyAddress = "127.0.0.1:18590";
+
+bool runUntil(eventloop::loop &Loop, base::duration Limit,
+              const std::function<bool()> &Done) {
+  const base::instant End = Loop.now() + Limit;
+  while (!Done() && Loop.now() < End)
+    Loop.context().run_one_for(milliseconds(5));
+  return Done();
+}
+
 } // namespace
 
 TEST_GROUP(FleetFeed){};
@@ -73,6 +95,8 @@
   for (std::size_t Number = 0; Number < Addresses.size(); ++Number)
     Controls.push_back(std::make_unique<test_control>(
         Loop, Addresses[Number], Number % 2 == 0 ? "pos" : "arima", Addresses));
+  for (const auto &Control : Controls)
+    Control->prove();
   constexpr int Entries = 30;
   int Knowing = 0;
   std::vector<std::unique_ptr<fleet_feed>> Feeds;
@@ -84,10 +108,8 @@
                                     .DataCentre = "pos"},
                            .Seeds = {Addresses[1], Addresses[3], Addresses[5]}},
         [&Knowing](const fleet_view &) { ++Knowing; }));
-  const base::instant End = Loop.now() + std::chrono::seconds(3);
-  while (Knowing < Entries && Loop.now() < End)
-    Loop.context().run_one_for(milliseconds(10));
-  CHECK_EQUAL(Entries, Knowing);
+  CHECK_TRUE(runUntil(Loop, std::chrono::seconds(3),
+                      [&Knowing] { return Knowing == Entries; }));
   int Near = 0;
   for (const auto &Control : Controls) {
     Near += Control->dataCentre() == "pos" ? Control->asked() : 0;
@@ -96,3 +118,35 @@
   // Only those that are reached too late by some entry are passed over.
   CHECK_TRUE(Near >= Entries * 2 / 3);
 }
+
+// Load: all instances restart together. A control instance holds its last
+// snapshot until a leader stands, with routes and targets that were withdrawn
+// since; an entry that starts must not take that for the present state.
+TEST(FleetFeed, anEntryThatStartsWaitsForACopyThatAQuorumConfirms) {
+  eventloop::loop Loop;
+  test_control Control(Loop, OnlyAddress, "pos", {OnlyAddress});
+  int Views = 0;
+  fleet_feed Feed(
+      Loop,
+      {.Self = {.Id = "e", .Incarnation = "any", .DataCentre = "pos"},
+       .Seeds = {OnlyAddress}},
+      [&Views](const fleet_view &) { ++Views; });
+  CHECK_FALSE(
+      runUntil(Loop, milliseconds(500), [&Views] { return Views > 0; }));
+  CHECK_EQUAL(0, Control.asked());
+  Control.prove();
+  CHECK_TRUE(runUntil(Loop, milliseconds(200), [&Views] { return Views > 0; }));
+}
+
+TEST(FleetFeed, withoutAQuorumAnEntryThatStartsServesWithWhatThereIs) {
+  eventloop::loop Loop;
+  test_control Control(Loop, OnlyAddress, "pos", {OnlyAddress});
+  int Views = 0;
+  fleet_feed Feed(
+      Loop,
+      {.Self = {.Id = "e", .Incarnation = "any", .DataCentre = "pos"},
+       .Seeds = {OnlyAddress}},
+      [&Views](const fleet_view &) { ++Views; });
+  CHECK_TRUE(
+      runUntil(Loop, milliseconds(2'500), [&Views] { return Views > 0; }));
+}
