--- a/modules/consensus/include/fulmar/consensus/consensustypes.h
+++ b/modules/consensus/include/fulmar/consensus/consensustypes.h
@@ -66,8 +66,8 @@
   base::duration ElectionMin = std::chrono::milliseconds(600);
   base::duration ElectionMax = std::chrono::milliseconds(1200);
   /// Longest wait between two pre-votes until a first leader is seen after a
-  /// start; ElectionMax when longer. A leader that lives is not disturbed by it:
-  /// the others refuse the pre-vote.
+  /// start; ElectionMax when longer. A leader that lives is not disturbed by
+  /// it: the others refuse the pre-vote.
   base::duration FirstElectionMax = ElectionMax;
   std::size_t MaxBatchBytes = std::size_t(1) << 18;
   std::size_t MaxBatchEntries = 256;
--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -147,25 +147,25 @@
   /// Handlers of proposals and reads that the log has not finished.
   std::map<consensus::ticket, call_handler> Waiting;
 
-  bool Leads = false;
   std::string Leader;
-  /// Some peer with a fresh proof lists the members without this instance.
-  bool Unlisted = false;
   /// What each peer said of the members last.
   std::map<std::string, std::vector<std::string>> ListedBy;
   publication::serial Announced = 0;
   base::instant AnnouncedAt{};
-  bool AnnounceScheduled = false;
-  /// The last notice told of a fresh proof.
-  bool AnnouncedProven = false;
   /// Encoded answers, by what was asked; valid for the serial EncodedFor.
   std::map<publication::serial, std::string> EncodedChanges;
   publication::serial EncodedFor = 0;
   std::vector<std::string> AnnouncedControls;
   /// Expires with this object; posted work checks it.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  bool FlushScheduled = false;
   base::instant FlushedAt{};
+  bool Leads = false;
+  /// Some peer with a fresh proof lists the members without this instance.
+  bool Unlisted = false;
+  bool AnnounceScheduled = false;
+  /// The last notice told of a fresh proof.
+  bool AnnouncedProven = false;
+  bool FlushScheduled = false;
   bool Failed = false;
   eventloop::timer Ticker;
   eventloop::timer FlushPause;
