--- a/modules/gateway/tests/fleetfeed_tests.cpp
+++ b/modules/gateway/tests/fleetfeed_tests.cpp
@@ -82,12 +82,24 @@
 
 } // namespace
 
-TEST_GROUP(FleetFeed){};
+TEST_GROUP(FleetFeed) {
+  eventloop::loop Loop;
+  int Views = 0;
+
+  std::unique_ptr<fleet_feed> feed(const std::string &Id,
+                                   std::vector<std::string> Seeds) {
+    return std::make_unique<fleet_feed>(
+        Loop,
+        fleet_feed_options{
+            .Self = {.Id = Id, .Incarnation = "any", .DataCentre = "pos"},
+            .Seeds = std::move(Seeds)},
+        [this](const fleet_view &) { ++Views; });
+  }
+};
 
 // Load: after all machines have lost power, hundreds of entries that know
 // nothing ask for everything at the same moment, and all know the same seeds.
 TEST(FleetFeed, entriesThatKnowNothingAskTheInstancesOfTheirDataCentreEvenly) {
-  eventloop::loop Loop;
   std::vector<std::string> Addresses;
   for (int Number = 0; Number < 6; ++Number)
     Addresses.push_back("127.0.0.1:1859" + std::to_string(Number));
@@ -98,18 +110,12 @@
   for (const auto &Control : Controls)
     Control->prove();
   constexpr int Entries = 30;
-  int Knowing = 0;
   std::vector<std::unique_ptr<fleet_feed>> Feeds;
   for (int Number = 0; Number < Entries; ++Number)
-    Feeds.push_back(std::make_unique<fleet_feed>(
-        Loop,
-        fleet_feed_options{.Self = {.Id = "entry-" + std::to_string(Number),
-                                    .Incarnation = "any",
-                                    .DataCentre = "pos"},
-                           .Seeds = {Addresses[1], Addresses[3], Addresses[5]}},
-        [&Knowing](const fleet_view &) { ++Knowing; }));
+    Feeds.push_back(feed("entry-" + std::to_string(Number),
+                         {Addresses[1], Addresses[3], Addresses[5]}));
   CHECK_TRUE(runUntil(Loop, std::chrono::seconds(3),
-                      [&Knowing] { return Knowing == Entries; }));
+                      [this] { return Views == Entries; }));
   int Near = 0;
   for (const auto &Control : Controls) {
     Near += Control->dataCentre() == "pos" ? Control->asked() : 0;
@@ -123,30 +129,16 @@
 // snapshot until a leader stands, with routes and targets that were withdrawn
 // since; an entry that starts must not take that for the present state.
 TEST(FleetFeed, anEntryThatStartsWaitsForACopyThatAQuorumConfirms) {
-  eventloop::loop Loop;
   test_control Control(Loop, OnlyAddress, "pos", {OnlyAddress});
-  int Views = 0;
-  fleet_feed Feed(
-      Loop,
-      {.Self = {.Id = "e", .Incarnation = "any", .DataCentre = "pos"},
-       .Seeds = {OnlyAddress}},
-      [&Views](const fleet_view &) { ++Views; });
-  CHECK_FALSE(
-      runUntil(Loop, milliseconds(500), [&Views] { return Views > 0; }));
+  const auto Feed = feed("e", {OnlyAddress});
+  CHECK_FALSE(runUntil(Loop, milliseconds(500), [this] { return Views > 0; }));
   CHECK_EQUAL(0, Control.asked());
   Control.prove();
-  CHECK_TRUE(runUntil(Loop, milliseconds(200), [&Views] { return Views > 0; }));
+  CHECK_TRUE(runUntil(Loop, milliseconds(200), [this] { return Views > 0; }));
 }
 
 TEST(FleetFeed, withoutAQuorumAnEntryThatStartsServesWithWhatThereIs) {
-  eventloop::loop Loop;
   test_control Control(Loop, OnlyAddress, "pos", {OnlyAddress});
-  int Views = 0;
-  fleet_feed Feed(
-      Loop,
-      {.Self = {.Id = "e", .Incarnation = "any", .DataCentre = "pos"},
-       .Seeds = {OnlyAddress}},
-      [&Views](const fleet_view &) { ++Views; });
-  CHECK_TRUE(
-      runUntil(Loop, milliseconds(2'500), [&Views] { return Views > 0; }));
+  const auto Feed = feed("e", {OnlyAddress});
+  CHECK_TRUE(runUntil(Loop, milliseconds(2'500), [this] { return Views > 0; }));
 }
