Keep the sum of held bytes alive as long as its connections

Cause, found by reading: handlers of connections live in the loop until that is destroyed, after the gateway; a connection that gave its bytes back then touched a sum that was gone. The sum is shared now.

--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -138,10 +138,14 @@
   Acceptor->async_accept([this](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
       return;
+    if (!Failed)
+      std::make_shared<http_connection>(Loop, std::move(Socket), Options,
+                                        Handler)
+          ->read();
+    if (!Acceptor->is_open())
+      return;
     if (Failed)
       return AcceptRetry.after(AcceptPause, [this] { accept(); });
-    std::make_shared<http_connection>(Loop, std::move(Socket), Options, Handler)
-        ->read();
     accept();
   });
 }
--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -14,11 +14,12 @@
 } // namespace
 
 channel_pool::channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
-                           telemetry::metrics &Registry, held_bytes &Memory,
+                           telemetry::metrics &Registry,
+                           std::shared_ptr<held_bytes> Memory,
                            target_channel::observer Watching)
     : Loop(OwningLoop), Dialect(Names),
       Opened(Registry.counterOf("fulmar_target_connections_opened_total")),
-      Held(Memory), Watcher(std::move(Watching)) {}
+      Held(std::move(Memory)), Watcher(std::move(Watching)) {}
 
 std::string channel_pool::keyOf(const fleet::target_report &Target) {
   return Target.Id + "/" + std::to_string(Target.StartedAtMs) + "/" +
--- a/modules/gateway/internal/channelpool.h
+++ b/modules/gateway/internal/channelpool.h
@@ -21,7 +21,7 @@
 public:
   /// \p Watching sees each answer of a target.
   channel_pool(eventloop::loop &OwningLoop, const dialect &Names,
-               telemetry::metrics &Registry, held_bytes &Memory,
+               telemetry::metrics &Registry, std::shared_ptr<held_bytes> Memory,
                target_channel::observer Watching);
 
   /// An idle connection to this run of the target, or a new one; null for an
@@ -46,7 +46,7 @@
   eventloop::loop &Loop;
   const dialect &Dialect;
   telemetry::counter &Opened;
-  held_bytes &Held;
+  std::shared_ptr<held_bytes> Held;
   target_channel::observer Watcher;
   /// The most recently used last.
   std::map<std::string, std::vector<channel_ptr>> Idle;
--- a/modules/gateway/internal/frontsession.cpp
+++ b/modules/gateway/internal/frontsession.cpp
@@ -105,7 +105,7 @@
     if (Taken > 0 && HeadDone)
       WaitSince = State.Loop.now();
     Held.set(Parser->get().body().size());
-    if (State.Held.full() && !Parser->is_done())
+    if (Held.allFull() && !Parser->is_done())
       return refuse(503, "out-of-memory");
     if (Parser->is_done())
       return onRequest();
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -62,10 +62,13 @@
   State.Acceptor->async_accept([&State](error_code Failed, tcp::socket Socket) {
     if (Failed == asio::error::operation_aborted)
       return;
+    if (!Failed)
+      begin(State, std::move(Socket));
+    if (!State.Acceptor->is_open())
+      return;
     if (Failed)
       return State.AcceptRetry.after(eventloop::AcceptPause,
                                      [&State] { accept(State); });
-    begin(State, std::move(Socket));
     accept(State);
   });
 }
@@ -178,7 +181,8 @@
                              gateway_options Chosen,
                              telemetry::metrics &Registry)
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
-      Random(std::random_device()()), Held(Options.MaxHeldBytes),
+      Random(std::random_device()()),
+      Held(std::make_shared<held_bytes>(Options.MaxHeldBytes)),
       Pool(Loop, Options.Dialect, Metrics, Held,
            [this](const std::string &Key, unsigned Status,
                   const http::fields &Fields) {
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -102,7 +102,7 @@
   telemetry::metrics &Metrics;
   base::random_source Random;
   /// Bodies of requests and answers.
-  held_bytes Held;
+  std::shared_ptr<held_bytes> Held;
   channel_pool Pool;
   placement::cold_limiter Cold;
   placement::probe_budget Probes;
--- a/modules/gateway/internal/heldbytes.h
+++ b/modules/gateway/internal/heldbytes.h
@@ -4,6 +4,7 @@
 #define FULMAR_GATEWAY_INTERNAL_HELDBYTES_H
 
 #include <cstddef>
+#include <memory>
 #include <utility>
 
 namespace fulmar::gateway {
@@ -24,18 +25,21 @@
 /// What one connection holds; given back when it is destroyed.
 class held_part {
 public:
-  explicit held_part(held_bytes &Whole) : All(Whole) {}
+  explicit held_part(std::shared_ptr<held_bytes> Whole)
+      : All(std::move(Whole)) {}
   ~held_part() { set(0); }
   held_part(const held_part &) = delete;
   held_part &operator=(const held_part &) = delete;
 
   void set(std::size_t Bytes) {
-    All.Sum += Bytes;
-    All.Sum -= std::exchange(Part, Bytes);
+    All->Sum += Bytes;
+    All->Sum -= std::exchange(Part, Bytes);
   }
+  [[nodiscard]] bool allFull() const { return All->full(); }
 
 private:
-  held_bytes &All;
+  /// Connections may outlive the gateway until the loop drops their handlers.
+  std::shared_ptr<held_bytes> All;
   std::size_t Part = 0;
 };
 
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -34,11 +34,12 @@
 
 target_channel::target_channel(eventloop::loop &OwningLoop,
                                std::string TargetKey, tcp::endpoint At,
-                               const dialect &Names, held_bytes &Memory,
+                               const dialect &Names,
+                               const std::shared_ptr<held_bytes> &Memory,
                                const observer &Watching)
     : Loop(OwningLoop), Key(std::move(TargetKey)), Endpoint(std::move(At)),
       Dialect(Names), Watcher(Watching), Socket(Loop.context()),
-      ConnectTimer(Loop), CallTimer(Loop), Held(Memory), AllHeld(Memory),
+      ConnectTimer(Loop), CallTimer(Loop), Held(Memory),
       IdleLimit(DefaultIdleLimit) {}
 
 void target_channel::call(target_call Next, handler Called) {
@@ -158,7 +159,7 @@
   if (!Parser->is_done()) {
     const std::size_t Size = Parser->get().body().size();
     Held.set(Size);
-    if (Size > MaxHeldAnswerBytes || (Size > 0 && AllHeld.full())) {
+    if (Size > MaxHeldAnswerBytes || (Size > 0 && Held.allFull())) {
       onLongAnswer();
       return false;
     }
--- a/modules/gateway/internal/targetchannel.h
+++ b/modules/gateway/internal/targetchannel.h
@@ -69,7 +69,8 @@
                                       const http::fields &Fields)>;
 
   target_channel(eventloop::loop &OwningLoop, std::string TargetKey,
-                 tcp::endpoint At, const dialect &Names, held_bytes &Memory,
+                 tcp::endpoint At, const dialect &Names,
+                 const std::shared_ptr<held_bytes> &Memory,
                  const observer &Watching);
 
   /// Connects first where needed. \p Done is called once, unless the channel
@@ -148,7 +149,6 @@
   /// Bytes that the parser has not taken yet.
   std::string Pending;
   held_part Held;
-  held_bytes &AllHeld;
   std::array<char, 8'192> Chunk{};
   base::instant IdleSince{};
   base::duration IdleLimit;
