--- a/modules/gateway/tests/targettrouble_tests.cpp
+++ b/modules/gateway/tests/targettrouble_tests.cpp
@@ -209,3 +209,41 @@
                                       "4611686018427387903\r\n\r\nx")
                                       .c_str());
 }
+
+TEST(TargetTrouble, absurdLoadsAndTimesOfATargetHarmNobody) {
+  addTarget([](const seen_request &Request) {
+    return answeredWith(Request,
+                        "Keep-Alive: timeout=18446744073709551615\r\n");
+  });
+  Targets[0]->setHealthHeaders("T-Cold: 18446744073709551615\r\n");
+  addTarget(answered);
+  for (const char *Load :
+       {"nan,inf,2,100", "1e300,0,2,100", "-1,0,2,100", "0,0,0,0", ",,,",
+        "0,0,2,1e308", "0,0,99999999999999999999,100"}) {
+    Targets[0]->setLoad(Load);
+    askOften(3);
+  }
+  CHECK_EQUAL(21U, arrived());
+}
+
+// Load: a target's reports stay away for longer than its lease, or its data
+// centre is taken out, while it works on a long request.
+TEST(TargetTrouble, aRequestThatRunsAtATargetThatIsNoLongerListedGoesOn) {
+  scripted_target *Slow = nullptr;
+  addTarget([](const seen_request &) { return target_action{}; });
+  Slow = Targets[0].get();
+  test_caller Caller(Loop);
+  Caller.send(request("POST", "/write/x", "b"));
+  CHECK_TRUE(runUntil([this] { return arrived() == 1; }));
+  auto Kept = std::move(Targets[0]);
+  Targets.clear();
+  apply();
+  const base::instant LaterAt = Loop.now() + milliseconds(300);
+  runUntil([this, LaterAt] { return Loop.now() > LaterAt; });
+  CHECK_EQUAL(0, Slow->abandoned());
+  CHECK_TRUE(Caller.Received.empty());
+  Slow->answerLate("done late");
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+  STRCMP_CONTAINS("done late", Caller.Received.c_str());
+  Caller.close();
+}
