Log which broken attempts become evidence of a crash

Entries now log each broken attempt with the reason why its request is or is not suspected (attempt-broke, and fulmar_target_breaks_total), and suspicions that end without a confirmation; control instances log each report that they counted. No logic changed: routing, gateway and controlnode tests pass.

--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -12,6 +12,8 @@
 
 /// A peer whose proof is older says nothing about the present members.
 constexpr std::int64_t FreshProofMs = 1'000;
+/// An election and a commit take less.
+constexpr auto CrashCallLimit = std::chrono::seconds(2);
 
 } // namespace
 
@@ -91,7 +93,23 @@
 
 void control_node::take(const link_ptr & /*Link*/,
                         const fleetlink::crash_notice &Notice) {
-  proposeQuietly(Notice.Crash);
+  propose(
+      Notice.Crash, CrashCallLimit,
+      [Crash = Notice.Crash](const base::result<controlstate::reply> &Got) {
+        const auto *Counted =
+            Got ? std::get_if<controlstate::crash_reply>(&Got.value())
+                : nullptr;
+        telemetry::logChange(
+            Counted ? telemetry::log_level::Info
+                    : telemetry::log_level::Warning,
+            "control", Counted ? "crash-counted" : "crash-not-counted",
+            {{"fingerprint", Crash.Fingerprint},
+             {"target", Crash.Target},
+             {"run", Crash.Incarnation},
+             {"crashes", Counted ? std::to_string(Counted->Crashes) : ""},
+             {"quarantined", Counted && Counted->Quarantined ? "yes" : "no"},
+             {"error", Got ? "" : Got.error().Message}});
+      });
 }
 
 void control_node::take(const link_ptr & /*Link*/,
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -2,6 +2,9 @@
 
 #include "internal/exchange.h"
 
+#include "fulmar/routing/fingerprint.h"
+#include "fulmar/telemetry/log.h"
+
 #include <algorithm>
 
 namespace fulmar::gateway {
@@ -174,11 +177,24 @@
 /// The request is suspected of having crashed the target.
 void exchange::noteBreak(const std::string &Target) {
   const fleet::target_report *Held = Service->Placement.find(Target);
-  if (Held != nullptr)
-    State.Crashes.broken({.Fingerprint = Fingerprint,
-                          .Target = base::target_id(Target),
-                          .Incarnation = std::to_string(Held->StartedAtMs)},
-                         State.Loop.now());
+  if (Held == nullptr)
+    return;
+  const std::string Run = std::to_string(Held->StartedAtMs);
+  const std::string Outcome(
+      nameOf(State.Crashes.broken({.Fingerprint = Fingerprint,
+                                   .Target = base::target_id(Target),
+                                   .Incarnation = Run},
+                                  State.Loop.now())));
+  State.Metrics
+      .counterOf("fulmar_target_breaks_total", "suspicion=\"" + Outcome + "\"")
+      .add();
+  telemetry::logChange(telemetry::log_level::Info, "gateway", "attempt-broke",
+                       {{"request", RequestId},
+                        {"fingerprint", routing::fingerprintText(Fingerprint)},
+                        {"target", Target},
+                        {"run", Run},
+                        {"cause", LastFailure.Message},
+                        {"suspicion", Outcome}});
 }
 
 void exchange::onWhole(std::size_t Index, target_answer Answer) {
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -108,6 +108,12 @@
 }
 
 void reportCrashes(gateway_state &State) {
+  for (const routing::crash_report &Report : State.Crashes.takeUnconfirmed())
+    telemetry::logChange(
+        telemetry::log_level::Info, "gateway", "suspicion-unconfirmed",
+        {{"fingerprint", routing::fingerprintText(Report.Fingerprint)},
+         {"target", Report.Target.str()},
+         {"run", Report.Incarnation}});
   for (const routing::crash_report &Report : State.Crashes.takeReports()) {
     const std::string Fingerprint =
         routing::fingerprintText(Report.Fingerprint);
--- a/modules/routing/include/fulmar/routing/crashdetector.h
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -31,13 +32,23 @@
   friend auto operator<=>(const crash_report &, const crash_report &) = default;
 };
 
+/// What became of a broken attempt.
+enum class suspicion : std::uint8_t {
+  Suspected,
+  /// The target had answered nothing else lately.
+  TargetSilentBefore,
+  /// The same request was answered lately.
+  AnsweredLately,
+};
+std::string_view nameOf(suspicion Outcome);
+
 class crash_detector {
 public:
   /// A complete answer to \p Fingerprint that is no server error.
   void answered(const base::target_id &Target, std::uint64_t Fingerprint,
                 base::instant Now);
   /// The connection broke after bytes were sent, without a whole answer.
-  void broken(const crash_report &Suspect, base::instant Now);
+  suspicion broken(const crash_report &Suspect, base::instant Now);
   /// A connection to the target could not be made.
   void unreachable(const base::target_id &Target, base::instant Now);
   /// The target runs as \p Incarnation now.
@@ -46,6 +57,9 @@
 
   /// Returns and forgets the confirmed crashes since the last call.
   std::vector<crash_report> takeReports();
+  /// Returns and forgets the suspicions that ended without a confirmation since
+  /// the last call.
+  std::vector<crash_report> takeUnconfirmed();
 
 private:
   struct target_record {
@@ -73,6 +87,8 @@
   /// Bounded; the oldest first.
   std::deque<suspect> Suspects;
   std::vector<crash_report> Confirmed;
+  /// Bounded by MaxSuspects.
+  std::vector<crash_report> Unconfirmed;
   /// When a request was last answered; bounded by Answers.
   std::unordered_map<std::uint64_t, base::instant> AnsweredAt;
   std::deque<std::uint64_t> Answers;
--- a/modules/routing/internal/crashdetector.cpp
+++ b/modules/routing/internal/crashdetector.cpp
@@ -23,6 +23,18 @@
 
 } // namespace
 
+std::string_view nameOf(suspicion Outcome) {
+  switch (Outcome) {
+  case suspicion::Suspected:
+    return "suspected";
+  case suspicion::TargetSilentBefore:
+    return "target-silent-before";
+  case suspicion::AnsweredLately:
+    return "answered-lately";
+  }
+  return "unknown";
+}
+
 void crash_detector::answered(const base::target_id &Target,
                               std::uint64_t Fingerprint, base::instant Now) {
   target_record &Record = Targets[Target];
@@ -39,7 +51,8 @@
   forgetOld(Now);
 }
 
-void crash_detector::broken(const crash_report &Suspect, base::instant Now) {
+suspicion crash_detector::broken(const crash_report &Suspect,
+                                 base::instant Now) {
   target_record &Record = Targets[Suspect.Target];
   Record.Used = Now;
   const bool SameEvent = Now - Record.LastBreak < BreakSpread &&
@@ -54,10 +67,13 @@
     Record.LastBreak = Now;
     Record.BrokenIncarnation = Suspect.Incarnation;
   }
-  if (!WasAnswering || answeredLately(Suspect.Fingerprint, Now))
-    return;
+  if (!WasAnswering)
+    return suspicion::TargetSilentBefore;
+  if (answeredLately(Suspect.Fingerprint, Now))
+    return suspicion::AnsweredLately;
   Suspects.push_back({.Report = Suspect, .Since = Now});
   forgetOld(Now);
+  return suspicion::Suspected;
 }
 
 void crash_detector::unreachable(const base::target_id &Target,
@@ -88,6 +104,10 @@
   return std::exchange(Confirmed, {});
 }
 
+std::vector<crash_report> crash_detector::takeUnconfirmed() {
+  return std::exchange(Unconfirmed, {});
+}
+
 bool crash_detector::answeredLately(std::uint64_t Fingerprint,
                                     base::instant Now) const {
   const auto Found = AnsweredAt.find(Fingerprint);
@@ -97,8 +117,11 @@
 void crash_detector::forgetOld(base::instant Now) {
   while (!Suspects.empty() &&
          (Suspects.size() > MaxSuspects ||
-          Now - Suspects.front().Since >= ConfirmationWindow))
+          Now - Suspects.front().Since >= ConfirmationWindow)) {
+    if (Unconfirmed.size() < MaxSuspects)
+      Unconfirmed.push_back(Suspects.front().Report);
     Suspects.pop_front();
+  }
   while (Answers.size() > MaxAnswers) {
     AnsweredAt.erase(Answers.front());
     Answers.pop_front();
