--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -35,9 +35,10 @@
 class test_caller {
 public:
   /// One that does not read has its answers wait.
-  explicit test_caller(eventloop::loop &OwningLoop, bool Reads = true)
+  explicit test_caller(eventloop::loop &OwningLoop, bool Reads = true,
+                       const std::string &Front = FrontAddress)
       : Loop(OwningLoop), Socket(Loop.context()) {
-    Socket.connect(eventloop::parseEndpoint(FrontAddress).value());
+    Socket.connect(eventloop::parseEndpoint(Front).value());
     if (Reads)
       read();
   }
--- a/modules/gateway/tests/scriptedtarget.cpp
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -17,7 +17,7 @@
         Abandoned(Owner.Abandoned), LoadText(Owner.LoadText),
         HealthHeaders(Owner.HealthHeaders), EndlessBytes(Owner.EndlessBytes),
         EndlessClosed(Owner.EndlessClosed), HealthDelay(Owner.HealthDelay),
-        HealthTimer(Socket.get_executor()) {}
+        HealthTimer(Socket.get_executor()), WorkTimer(Socket.get_executor()) {}
 
   void read() {
     Message = {};
@@ -38,6 +38,12 @@
                        Bytes](error_code /*Failed*/, std::size_t /*Count*/) {});
   }
 
+  void reset() {
+    error_code Ignored;
+    Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    Socket.close(Ignored);
+  }
+
 private:
   void onEnd() {
     if (Unanswered)
@@ -54,7 +60,12 @@
                          .Fields = Message.base()});
     const target_action Action = (*Script)(Requests->back());
     Unanswered = Action.Bytes.empty();
-    reply(Action);
+    if (Action.Work.count() == 0)
+      return reply(Action);
+    WorkTimer.expires_after(Action.Work);
+    WorkTimer.async_wait([Self = shared_from_this(), Action](error_code) {
+      Self->reply(Action);
+    });
   }
 
   void replyHealth() {
@@ -109,6 +120,7 @@
   std::shared_ptr<int> EndlessClosed;
   std::shared_ptr<base::duration> HealthDelay;
   asio::steady_timer HealthTimer;
+  asio::steady_timer WorkTimer;
   boost::beast::flat_buffer Buffer;
   http::request<http::string_body> Message;
   bool Unanswered = false;
@@ -128,11 +140,23 @@
     Connection->answerLate(Body);
 }
 
+void scripted_target::crash() {
+  error_code Ignored;
+  Acceptor.close(Ignored);
+  for (const auto &Held : Connections) {
+    if (const auto Connection = Held.lock())
+      Connection->reset();
+  }
+}
+
 void scripted_target::accept() {
   Acceptor.async_accept([this](error_code Failed, tcp::socket Socket) {
     if (Failed)
       return;
-    std::make_shared<connection>(*this, std::move(Socket))->read();
+    const auto Accepted =
+        std::make_shared<connection>(*this, std::move(Socket));
+    Connections.push_back(Accepted);
+    Accepted->read();
     accept();
   });
 }
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -23,6 +23,8 @@
   bool Close = false;
   /// Sent after Bytes again and again, until the other side closes.
   std::string Endless;
+  /// Time before the answer.
+  base::duration Work{};
 };
 
 struct seen_request {
@@ -63,6 +65,9 @@
   /// Health requests are answered after \p Delay.
   void setHealthDelay(base::duration Delay) { *HealthDelay = Delay; }
 
+  /// Ends the target as a crash does: connections are reset, new ones refused.
+  void crash();
+
   /// A whole answer as targets give it.
   static std::string ok(const seen_request &Request, const std::string &Body);
 
@@ -86,6 +91,7 @@
   std::shared_ptr<int> EndlessClosed = std::make_shared<int>(0);
   std::shared_ptr<base::duration> HealthDelay =
       std::make_shared<base::duration>();
+  std::vector<std::weak_ptr<connection>> Connections;
   eventloop::tcp::acceptor Acceptor;
 };
 
