Suspect a request whatever else its target answered before

Callers saw: a request that ended target after target was passed on. Cause: an entry suspected a broken attempt only if the same target had answered it another request in the ten seconds before. A request that was answered in the last 60 s anywhere at the entry was excused, too; now 10 s. What protects innocent requests instead: any answer to the request, by any target, drops what is held against it, before and after the confirmation, and so does a target that answers a question asked after the break. Class: evidence that each entry must have alone.

--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -216,12 +216,13 @@
   const bool Signed = !headerOf(Answer.Fields, Names.Signature).empty();
   const bool Encoded = !headerOf(Answer.Fields, "Content-Encoding").empty();
   const bool Success = Answer.Status < FirstRedirect;
+  // Whatever it tells: the target has outlived the run.
+  if (Signed && Answer.Whole)
+    State.Crashes.answered(Fingerprint, State.Loop.now());
   if (Success && Signed && !Encoded) {
     Times->Usual.record(
         placement::normalised(State.Loop.now() - Attempts[Index].SentAt,
                               Attempts[Index].ExpectedFactor));
-    State.Crashes.answered(base::target_id(Attempts[Index].Target), Fingerprint,
-                           State.Loop.now());
     return deliver(Index, std::move(Answer));
   }
   MayHaveRun = true;
--- a/modules/routing/include/fulmar/routing/crashdetector.h
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -1,11 +1,14 @@
 // Recognises requests that crash the target which runs them.
 //
-// A broken attempt makes its request a suspect when the target had been
-// answering other requests since its previous break, and this instance has not
-// seen the same request answered lately. The suspicion is confirmed when the
-// target then refuses connections or comes back with another incarnation. A
-// target that breaks all of its connections answers nothing in between, so it
-// makes no request suspect after the first break.
+// A broken attempt makes its request a suspect, unless this instance has seen
+// the same request answered lately. The suspicion is confirmed when the target
+// then refuses connections, another one runs at its address, or it comes back
+// with another incarnation; it is dropped when the target answers a question
+// that was asked later, and when the request is answered by any target.
+//
+// What else the target answered this instance before does not count: with many
+// instances and targets each pair meets rarely, and a target that has just come
+// back has answered nobody.
 
 #ifndef FULMAR_ROUTING_CRASHDETECTOR_H
 #define FULMAR_ROUTING_CRASHDETECTOR_H
@@ -35,8 +38,6 @@
 /// What became of a broken attempt.
 enum class suspicion : std::uint8_t {
   Suspected,
-  /// The target had answered nothing else lately.
-  TargetSilentBefore,
   /// The same request was answered lately.
   AnsweredLately,
 };
@@ -44,12 +45,15 @@
 
 class crash_detector {
 public:
-  /// A complete answer to \p Fingerprint that is no server error.
-  void answered(const base::target_id &Target, std::uint64_t Fingerprint,
-                base::instant Now);
+  /// A complete answer to \p Fingerprint that is no server error: the request
+  /// crashes no target.
+  void answered(std::uint64_t Fingerprint, base::instant Now);
   /// The connection broke after bytes were sent, without a whole answer.
   suspicion broken(const crash_report &Suspect, base::instant Now);
-  /// A connection to the target could not be made.
+  /// The target answered what was asked at \p AskedAt.
+  void answeredCheck(const base::target_id &Target, base::instant AskedAt);
+  /// A connection to the target was refused, or another target answers at its
+  /// address.
   void unreachable(const base::target_id &Target, base::instant Now);
   /// The target runs as \p Incarnation now.
   void incarnationSeen(const base::target_id &Target,
@@ -62,16 +66,6 @@
   std::vector<crash_report> takeUnconfirmed();
 
 private:
-  struct target_record {
-    /// The last two different requests that were answered.
-    std::uint64_t LastAnswered = 0;
-    base::instant LastAnsweredAt{};
-    std::uint64_t OtherAnswered = 0;
-    base::instant OtherAnsweredAt{};
-    base::instant LastBreak{};
-    std::string BrokenIncarnation;
-    base::instant Used{};
-  };
   struct suspect {
     crash_report Report;
     base::instant Since{};
@@ -83,7 +77,6 @@
                const std::string &Incarnation);
   void forgetOld(base::instant Now);
 
-  std::unordered_map<base::target_id, target_record> Targets;
   /// Bounded; the oldest first.
   std::deque<suspect> Suspects;
   std::vector<crash_report> Confirmed;
--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -171,6 +171,8 @@
   service_router *find(const base::service_name &Service) const;
   void observeCrashes(const permit &Permit, const attempt &Outcome,
                       std::uint64_t Fingerprint, base::instant Now);
+  /// Drops what this instance holds against a request that was answered.
+  void noteAnswered(std::uint64_t Fingerprint, base::instant Now);
   /// Quarantines requests that crashed two targets of this instance.
   std::vector<ticket_answer> confirmCrashes(base::instant Now);
   std::vector<ticket_answer> refuseWaiters(std::uint64_t Fingerprint);
--- a/modules/routing/internal/crashdetector.cpp
+++ b/modules/routing/internal/crashdetector.cpp
@@ -9,17 +9,13 @@
 
 namespace {
 
-/// Breaks of one crash reach this instance within this time.
-constexpr base::duration BreakSpread = std::chrono::milliseconds(200);
-/// A target counts as answering for this time.
-constexpr base::duration AnsweringWindow = std::chrono::seconds(10);
 /// A suspicion ends after this time without confirmation.
 constexpr base::duration ConfirmationWindow = std::chrono::seconds(10);
-/// An answered request is not suspected for this time.
-constexpr base::duration AnsweredRetention = std::chrono::seconds(60);
+/// An answered request is not suspected for this time: a popular one is
+/// answered again and again, one that has begun to crash targets is not.
+constexpr base::duration AnsweredRetention = std::chrono::seconds(10);
 constexpr std::size_t MaxSuspects = 256;
 constexpr std::size_t MaxAnswers = 4096;
-constexpr std::size_t MaxTargets = 4096;
 
 } // namespace
 
@@ -27,24 +23,20 @@
   switch (Outcome) {
   case suspicion::Suspected:
     return "suspected";
-  case suspicion::TargetSilentBefore:
-    return "target-silent-before";
   case suspicion::AnsweredLately:
     return "answered-lately";
   }
   return "unknown";
 }
 
-void crash_detector::answered(const base::target_id &Target,
-                              std::uint64_t Fingerprint, base::instant Now) {
-  target_record &Record = Targets[Target];
-  Record.Used = Now;
-  if (Record.LastAnswered != Fingerprint) {
-    Record.OtherAnswered = Record.LastAnswered;
-    Record.OtherAnsweredAt = Record.LastAnsweredAt;
-    Record.LastAnswered = Fingerprint;
-  }
-  Record.LastAnsweredAt = Now;
+void crash_detector::answered(std::uint64_t Fingerprint, base::instant Now) {
+  const auto IsAnswered = [Fingerprint](const crash_report &Report) {
+    return Report.Fingerprint == Fingerprint;
+  };
+  std::erase_if(Suspects, [&](const suspect &Suspect) {
+    return IsAnswered(Suspect.Report);
+  });
+  std::erase_if(Confirmed, IsAnswered);
   const auto [Place, New] = AnsweredAt.insert_or_assign(Fingerprint, Now);
   if (New)
     Answers.push_back(Fingerprint);
@@ -53,22 +45,6 @@
 
 suspicion crash_detector::broken(const crash_report &Suspect,
                                  base::instant Now) {
-  target_record &Record = Targets[Suspect.Target];
-  Record.Used = Now;
-  const bool SameEvent = Now - Record.LastBreak < BreakSpread &&
-                         Record.BrokenIncarnation == Suspect.Incarnation;
-  const base::instant Other = Record.LastAnswered == Suspect.Fingerprint
-                                  ? Record.OtherAnsweredAt
-                                  : Record.LastAnsweredAt;
-  const bool WasAnswering = Other != base::instant{} &&
-                            Now - Other < AnsweringWindow &&
-                            (SameEvent || Other > Record.LastBreak);
-  if (!SameEvent) {
-    Record.LastBreak = Now;
-    Record.BrokenIncarnation = Suspect.Incarnation;
-  }
-  if (!WasAnswering)
-    return suspicion::TargetSilentBefore;
   if (answeredLately(Suspect.Fingerprint, Now))
     return suspicion::AnsweredLately;
   Suspects.push_back({.Report = Suspect, .Since = Now});
@@ -76,6 +52,13 @@
   return suspicion::Suspected;
 }
 
+void crash_detector::answeredCheck(const base::target_id &Target,
+                                   base::instant AskedAt) {
+  std::erase_if(Suspects, [&](const suspect &Suspect) {
+    return Suspect.Report.Target == Target && Suspect.Since <= AskedAt;
+  });
+}
+
 void crash_detector::unreachable(const base::target_id &Target,
                                  base::instant Now) {
   confirm(Target, Now, "");
@@ -126,10 +109,6 @@
     AnsweredAt.erase(Answers.front());
     Answers.pop_front();
   }
-  if (Targets.size() > MaxTargets)
-    std::erase_if(Targets, [Now](const auto &Entry) {
-      return Now - Entry.second.Used >= AnsweredRetention;
-    });
 }
 
 } // namespace fulmar::routing
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -157,7 +157,7 @@
   if (Fingerprint == 0)
     return;
   if (Outcome.End == attempt_end::Answered && Outcome.Status < 500)
-    Crashes.answered(Target, Fingerprint, Now);
+    noteAnswered(Fingerprint, Now);
   if (Outcome.End == attempt_end::Broken && Outcome.BytesSent)
     Crashes.broken({.Fingerprint = Fingerprint,
                     .Target = Target,
@@ -165,6 +165,14 @@
                    Now);
 }
 
+void router::noteAnswered(std::uint64_t Fingerprint, base::instant Now) {
+  Crashes.answered(Fingerprint, Now);
+  CrashedTargets.erase(Fingerprint);
+  std::erase_if(Reports, [Fingerprint](const crash_report &Report) {
+    return Report.Fingerprint == Fingerprint;
+  });
+}
+
 std::vector<ticket_answer> router::confirmCrashes(base::instant Now) {
   std::vector<ticket_answer> Answers;
   for (crash_report &Report : Crashes.takeReports()) {
