Ask a target whether it runs as soon as an attempt broke there

Callers saw: a request that ended target after target was passed on. Cause: only a look that placement happened to take, or the same id with another start, confirmed that a target had ended. A refused connection, or another target that answers at the address, confirms it; an answer drops it; silence says nothing, since it may be a cut (connecting that timed out counted as an end before). One question serves all requests that broke together, within the budget of probes.

--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -168,6 +168,9 @@
     noteBreak(Attempts[Index].Target);
     Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
   }
+  if (Attempts[Index].Channel->refused())
+    State.Crashes.unreachable(base::target_id(Attempts[Index].Target),
+                              State.Loop.now());
   endAttempt(Index, attempt_quality::Break);
   if (Untouched)
     Service->Placement.unreachable(Attempts[Index].Target, State.Loop.now());
@@ -179,6 +182,7 @@
   const fleet::target_report *Held = Service->Placement.find(Target);
   if (Held == nullptr)
     return;
+  State.Suspects.add(Service, *Held);
   const std::string Run = std::to_string(Held->StartedAtMs);
   const std::string Outcome(
       nameOf(State.Crashes.broken({.Fingerprint = Fingerprint,
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -194,8 +194,9 @@
                   const http::fields &Fields) {
              noteAnswer(Key, Status, Fields);
            }),
-      Cold(Options.InstanceId), Probes(Options.ProbesPerTarget), Sweeper(Loop),
-      Evaluator(Loop), StopTimer(Loop), AcceptRetry(Loop) {}
+      Cold(Options.InstanceId), Probes(Options.ProbesPerTarget),
+      Suspects(*this), Sweeper(Loop), Evaluator(Loop), StopTimer(Loop),
+      AcceptRetry(Loop) {}
 
 void gateway_state::noteAnswer(const std::string &ChannelKey, unsigned Status,
                                const http::fields &Fields) {
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -11,6 +11,7 @@
 #include "fulmar/placement/windowbudget.h"
 #include "fulmar/routing/crashdetector.h"
 #include "internal/channelpool.h"
+#include "internal/suspectchecker.h"
 #include "internal/targetwish.h"
 
 #include <map>
@@ -114,6 +115,7 @@
   std::map<std::string, placement::route_times> Times;
   std::set<std::string> Quarantined;
   routing::crash_detector Crashes;
+  suspect_checker Suspects;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
   /// Requests that are being served.
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -60,7 +60,8 @@
 
 void look::start(std::function<void()> Done) {
   OnDone = std::move(Done);
-  Service->Placement.looking(Target.Id, State.Loop.now());
+  AskedAt = State.Loop.now();
+  Service->Placement.looking(Target.Id, AskedAt);
   Channel = State.Pool.acquire(Target);
   if (!Channel)
     return finish();
@@ -78,7 +79,8 @@
   const base::instant Now = State.Loop.now();
   if (!Answer) {
     Service->Placement.unreachable(Target.Id, Now);
-    if (Answer.error().Kind == base::error_kind::Unreachable)
+    // Silence may as well be a cut link.
+    if (Channel->refused())
       State.Crashes.unreachable(base::target_id(Target.Id), Now);
     return finish();
   }
@@ -87,6 +89,10 @@
   // It may be a late copy of another answer, and the look's own still to come.
   if (Id.empty() || !Told.Whole)
     Channel->taint();
+  if (Id == Target.Id)
+    State.Crashes.answeredCheck(base::target_id(Target.Id), AskedAt);
+  else if (!Id.empty())
+    State.Crashes.unreachable(base::target_id(Target.Id), Now);
   if (Id != Target.Id)
     Service->Placement.standBack(Target.Id, MisdirectedPause, Now);
   else if (Told.Status != StatusOk)
--- a/modules/gateway/internal/look.h
+++ b/modules/gateway/internal/look.h
@@ -54,6 +54,7 @@
   placement::load_report Load;
   base::instant AnsweredAt{};
   placement::hidden_requests InFlightThen = 0;
+  base::instant AskedAt{};
   bool Good = false;
   bool Finished = false;
   bool Released = false;
--- a/modules/gateway/internal/targetchannel.cpp
+++ b/modules/gateway/internal/targetchannel.cpp
@@ -80,6 +80,7 @@
         Self->ConnectTimer.cancel();
         if (!Self->Done)
           return;
+        Self->Refused = Failed == asio::error::connection_refused;
         if (Failed)
           return Self->finish(
               base::fail(base::error_kind::Unreachable, Failed.message()));
--- a/modules/gateway/internal/targetchannel.h
+++ b/modules/gateway/internal/targetchannel.h
@@ -92,6 +92,8 @@
   [[nodiscard]] base::instant idleSince() const { return IdleSince; }
   [[nodiscard]] base::duration idleLimit() const { return IdleLimit; }
   [[nodiscard]] bool connected() const { return Connected; }
+  /// Nobody listens at the target's address.
+  [[nodiscard]] bool refused() const { return Refused; }
   /// Further answers on this connection are not to be used.
   void taint() { Tainted = true; }
 
@@ -131,6 +133,7 @@
   eventloop::timer ConnectTimer;
   eventloop::timer CallTimer;
   bool Connected = false;
+  bool Refused = false;
   bool Reading = false;
   bool Writing = false;
   /// Not fit for another call.
--- /dev/null
+++ b/modules/gateway/tests/crashevidence_tests.cpp
@@ -0,0 +1,73 @@
+// Which broken attempts an entry takes for the end of a target.
+
+#include "fulmar/testing/property.h"
+#include "tests/gatewayfixture.h"
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Several times the time in which an entry asks a target and reports.
+constexpr base::duration ReportTime = milliseconds(1'500);
+const std::string Post = request("POST", "/write/1", "body");
+
+} // namespace
+
+TEST_GROUP_BASE(CrashEvidence, gateway_fixture){
+    /// A target that ends on its first request.
+    void addCrashing(){addTarget([this](const seen_request &) {
+      Loop.post([this] { Targets.front()->crash(); });
+      return target_action{};
+    });
+}
+bool reported() {
+  return runUntil([this] { return !Crashes.empty(); }, ReportTime);
+}
+}
+;
+
+TEST(CrashEvidence, aTargetThatEndsUnderItsFirstRequestIsReportedSoon) {
+  addCrashing();
+  ask(Post);
+  CHECK_TRUE(reported());
+  STRCMP_EQUAL("t0", Crashes.front().Target.c_str());
+}
+
+// Load: a full target resets connections and goes on.
+TEST(CrashEvidence, aTargetThatResetsAConnectionAndRunsOnIsNotReported) {
+  addTarget([](const seen_request &) { return target_action{.Close = true}; });
+  ask(Post);
+  CHECK_FALSE(reported());
+}
+
+// Load: the target is back at its address with another id before it is asked.
+TEST(CrashEvidence, anotherTargetAtTheAddressShowsThatTheFirstHasEnded) {
+  std::unique_ptr<scripted_target> Successor;
+  addTarget([&](const seen_request &) {
+    Loop.post([&] {
+      Targets.front()->crash();
+      Successor = std::make_unique<scripted_target>(
+          Loop, "other", Targets.front()->address(),
+          [](const seen_request &) { return target_action{}; });
+    });
+    return target_action{};
+  });
+  ask(Post);
+  CHECK_TRUE(reported());
+}
+
+// Load: a rack dies, and what its targets ran is answered elsewhere.
+TEST(CrashEvidence, aRequestThatAnotherTargetAnswersIsNotReported) {
+  addCrashing();
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/1"));
+  runUntil([this] { return arrived() == 1; });
+  addTarget([](const seen_request &Seen) {
+    return target_action{.Bytes = scripted_target::ok(Seen, "done")};
+  });
+  runUntil([&Caller] { return !Caller.Received.empty(); });
+  STRCMP_CONTAINS("200 OK", Caller.Received.c_str());
+  CHECK_FALSE(reported());
+}
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -85,13 +85,15 @@
 public:
   eventloop::loop Loop;
   telemetry::metrics Metrics;
+  std::vector<controlstate::crash_command> Crashes;
   class gateway Gateway {
     Loop,
         {.Listen = FrontAddress,
          .Dialect = testDialect(),
          .InstanceId = "e",
          .DataCentre = "pos",
-         .Grace = std::chrono::milliseconds(1'500)},
+         .Grace = std::chrono::milliseconds(1'500),
+         .OnCrash = [this](const auto &Crash) { Crashes.push_back(Crash); }},
         Metrics
   };
   std::vector<std::unique_ptr<scripted_target>> Targets;
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -40,6 +40,9 @@
 
   scripted_target(eventloop::loop &OwningLoop, std::string TargetId,
                   std::string At, script Chosen);
+  ~scripted_target() { crash(); }
+  scripted_target(const scripted_target &) = delete;
+  scripted_target &operator=(const scripted_target &) = delete;
 
   [[nodiscard]] const std::string &id() const { return Id; }
   [[nodiscard]] const std::string &address() const { return Address; }
--- a/modules/routing/include/fulmar/routing/crashdetector.h
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -59,6 +59,11 @@
   void incarnationSeen(const base::target_id &Target,
                        const std::string &Incarnation, base::instant Now);
 
+  /// Some request is under suspicion of having ended \p Target.
+  [[nodiscard]] bool suspects(const base::target_id &Target) const;
+  /// Ends suspicions that were not confirmed in time.
+  void forgetOld(base::instant Now);
+
   /// Returns and forgets the confirmed crashes since the last call.
   std::vector<crash_report> takeReports();
   /// Returns and forgets the suspicions that ended without a confirmation since
@@ -75,7 +80,6 @@
                                     base::instant Now) const;
   void confirm(const base::target_id &Target, base::instant Now,
                const std::string &Incarnation);
-  void forgetOld(base::instant Now);
 
   /// Bounded; the oldest first.
   std::deque<suspect> Suspects;
--- a/modules/routing/internal/crashdetector.cpp
+++ b/modules/routing/internal/crashdetector.cpp
@@ -83,6 +83,13 @@
   std::erase_if(Suspects, Matches);
 }
 
+bool crash_detector::suspects(const base::target_id &Target) const {
+  return std::any_of(Suspects.begin(), Suspects.end(),
+                     [&Target](const suspect &Suspect) {
+                       return Suspect.Report.Target == Target;
+                     });
+}
+
 std::vector<crash_report> crash_detector::takeReports() {
   return std::exchange(Confirmed, {});
 }
