Don't let neighbours at a crash clear the request that caused it

Callers saw: a request that ended target after target was passed on. Cause: a crash breaks all that the target was running. Four different requests in ten minutes marked a target as sick, and all its reports, the guilty request's too, were taken out of the count for good, with the quarantines that rested on them. A target is sick now when it crashed run after run on different requests; what broke together at one crash says nothing about it. Its reports go on counting against a request that was there at half of its crashes or more: two requests that take turns at the only target of a service stay guilty.

--- a/modules/controlstate/include/fulmar/controlstate/crashtable.h
+++ b/modules/controlstate/include/fulmar/controlstate/crashtable.h
@@ -1,7 +1,9 @@
 // Reports of crashed targets, and the requests that they put in quarantine. A
 // request is quarantined once two distinct runs of targets crashed on it. A
-// target that crashes on many different requests is itself at fault: none of
-// its reports counts, and quarantines that rested on them are lifted.
+// target that crashes run after run, on many different requests, is itself at
+// fault: its reports do not count against requests that were there at less than
+// half of its crashes, and quarantines that rested on them are lifted. Requests
+// that broke at one and the same crash say nothing about the target.
 
 #ifndef FULMAR_CONTROLSTATE_CRASHTABLE_H
 #define FULMAR_CONTROLSTATE_CRASHTABLE_H
@@ -14,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -23,7 +26,8 @@
 struct crash_rules {
   std::int64_t WindowMs = 600'000;
   std::int64_t QuarantineMs = 600'000;
-  /// Different requests within the window that mark a target as sick.
+  /// Crashes of a target within the window, and different requests at them,
+  /// that mark it as sick.
   std::size_t SickTargetRequests = 4;
 };
 
@@ -60,10 +64,15 @@
   }
 
   [[nodiscard]] bool contains(const crash_command &Crash) const;
-  [[nodiscard]] bool isSick(const std::string &Target,
-                            const crash_rules &Rules) const;
+  /// Requests by the run that crashed on them.
+  using crash_history = std::map<std::string, std::set<std::string>>;
+  [[nodiscard]] crash_history historyOf(const std::string &Target) const;
+  /// Requests against which a sick target's reports do not count.
+  [[nodiscard]] std::set<std::string> excusedBy(const std::string &Target,
+                                                const crash_rules &Rules) const;
   [[nodiscard]] std::size_t crashesOf(const std::string &Fingerprint) const;
-  void discount(const std::string &Target);
+  void discount(const std::string &Target,
+                const std::set<std::string> &Excused);
 
   /// In order of time.
   std::deque<crash> Crashes;
--- a/modules/controlstate/internal/crashtable.cpp
+++ b/modules/controlstate/internal/crashtable.cpp
@@ -17,8 +17,7 @@
       Crashes.pop_front();
     Crashes.push_back({.Command = Crash, .AtMs = NowMs});
   }
-  if (isSick(Crash.Target, Rules))
-    discount(Crash.Target);
+  discount(Crash.Target, excusedBy(Crash.Target, Rules));
   const std::size_t Count = crashesOf(Crash.Fingerprint);
   if (Count >= QuarantineCrashes)
     Quarantines.try_emplace(Crash.Fingerprint, NowMs + Rules.QuarantineMs);
@@ -40,14 +39,32 @@
   });
 }
 
-bool crash_table::isSick(const std::string &Target,
-                         const crash_rules &Rules) const {
-  std::set<std::string> Requests;
+crash_table::crash_history
+crash_table::historyOf(const std::string &Target) const {
+  crash_history History;
   for (const crash &Crash : Crashes) {
     if (Crash.Command.Target == Target)
-      Requests.insert(Crash.Command.Fingerprint);
+      History[Crash.Command.Incarnation].insert(Crash.Command.Fingerprint);
   }
-  return Requests.size() >= Rules.SickTargetRequests;
+  return History;
+}
+
+std::set<std::string> crash_table::excusedBy(const std::string &Target,
+                                             const crash_rules &Rules) const {
+  const crash_history History = historyOf(Target);
+  std::map<std::string, std::size_t> RunsOf;
+  for (const auto &[Run, Requests] : History) {
+    for (const std::string &Request : Requests)
+      ++RunsOf[Request];
+  }
+  const bool Sick = History.size() >= Rules.SickTargetRequests &&
+                    RunsOf.size() >= Rules.SickTargetRequests;
+  std::set<std::string> Excused;
+  for (const auto &[Request, Runs] : RunsOf) {
+    if (Sick && 2 * Runs < History.size())
+      Excused.insert(Request);
+  }
+  return Excused;
 }
 
 std::size_t crash_table::crashesOf(const std::string &Fingerprint) const {
@@ -59,10 +76,12 @@
   return Runs.size();
 }
 
-void crash_table::discount(const std::string &Target) {
+void crash_table::discount(const std::string &Target,
+                           const std::set<std::string> &Excused) {
   std::set<std::string> Weakened;
   for (crash &Crash : Crashes) {
-    if (Crash.Command.Target != Target || Crash.Discounted)
+    if (Crash.Command.Target != Target || Crash.Discounted ||
+        !Excused.contains(Crash.Command.Fingerprint))
       continue;
     Crash.Discounted = true;
     Weakened.insert(Crash.Command.Fingerprint);
--- a/modules/document/internal/controltable.cpp
+++ b/modules/document/internal/controltable.cpp
@@ -54,7 +54,8 @@
                     "time within which crashes are counted together"),
        &policy::CrashWindow},
       {integer("sick_target_requests", 2, 1000,
-               "different crashing requests that mark a target as sick"),
+               "crashes, on as many different requests, that mark a target as "
+               "sick"),
        &policy::SickTargetRequests},
   };
 }
