Report a crash until a control instance has counted it

Callers saw: a request that ended target after target was passed on. Cause: a report of a crash was sent once, over whatever links stood, and nobody confirmed it: a cut, an election or a restart of an instance lost it. The message has a new field: entries and instances of different versions do not understand each other's reports; the link is closed and dialled again.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -100,6 +100,7 @@
   void take(const link_ptr & /*Link*/, const fleetlink::control_notice &) {}
   void take(const link_ptr & /*Link*/, const fleetlink::fetch_reply &) {}
   void take(const link_ptr & /*Link*/, const fleetlink::log_notice &) {}
+  void take(const link_ptr & /*Link*/, const fleetlink::crash_receipt &) {}
 
   void dial(const std::string &Address);
   void tick();
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -15,6 +15,23 @@
 /// An election and a commit take less.
 constexpr auto CrashCallLimit = std::chrono::seconds(2);
 
+/// \p Counted is null when the report was not taken.
+void logCrash(const controlstate::crash_command &Crash,
+              const controlstate::crash_reply *Counted,
+              const std::string &Error) {
+  telemetry::logChange(
+      Counted != nullptr ? telemetry::log_level::Info
+                         : telemetry::log_level::Warning,
+      "control", Counted != nullptr ? "crash-counted" : "crash-not-counted",
+      {{"fingerprint", Crash.Fingerprint},
+       {"target", Crash.Target},
+       {"run", Crash.Incarnation},
+       {"crashes", Counted != nullptr ? std::to_string(Counted->Crashes) : ""},
+       {"quarantined",
+        Counted != nullptr && Counted->Quarantined ? "yes" : "no"},
+       {"error", Error}});
+}
+
 } // namespace
 
 void control_node::accept(const link_ptr &Link) {
@@ -91,25 +108,18 @@
   Link->send(changesSince(Request.Since));
 }
 
-void control_node::take(const link_ptr & /*Link*/,
+void control_node::take(const link_ptr &Link,
                         const fleetlink::crash_notice &Notice) {
-  propose(
-      Notice.Crash, CrashCallLimit,
-      [Crash = Notice.Crash](const base::result<controlstate::reply> &Got) {
-        const auto *Counted =
-            Got ? std::get_if<controlstate::crash_reply>(&Got.value())
-                : nullptr;
-        telemetry::logChange(
-            Counted ? telemetry::log_level::Info
-                    : telemetry::log_level::Warning,
-            "control", Counted ? "crash-counted" : "crash-not-counted",
-            {{"fingerprint", Crash.Fingerprint},
-             {"target", Crash.Target},
-             {"run", Crash.Incarnation},
-             {"crashes", Counted ? std::to_string(Counted->Crashes) : ""},
-             {"quarantined", Counted && Counted->Quarantined ? "yes" : "no"},
-             {"error", Got ? "" : Got.error().Message}});
-      });
+  propose(Notice.Crash, CrashCallLimit,
+          [Link, Notice](const base::result<controlstate::reply> &Got) {
+            const auto *Counted =
+                Got ? std::get_if<controlstate::crash_reply>(&Got.value())
+                    : nullptr;
+            logCrash(Notice.Crash, Counted, Got ? "" : Got.error().Message);
+            if (Counted != nullptr)
+              Link->send(
+                  fleetlink::encodeLink(fleetlink::crash_receipt{Notice.Id}));
+          });
 }
 
 void control_node::take(const link_ptr & /*Link*/,
--- a/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
+++ b/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
@@ -73,13 +73,23 @@
                           const control_notice &) = default;
 };
 
-/// A target crashed while it ran a request.
+/// A target crashed while it ran a request. Repeated until it is confirmed.
 struct crash_notice {
+  /// The sender's own number.
+  std::uint64_t Id = 0;
   controlstate::crash_command Crash;
 
   friend auto operator<=>(const crash_notice &, const crash_notice &) = default;
 };
 
+/// The crash with this number was counted, durably.
+struct crash_receipt {
+  std::uint64_t Id = 0;
+
+  friend auto operator<=>(const crash_receipt &,
+                          const crash_receipt &) = default;
+};
+
 /// A message of the replicated log.
 struct log_message {
   std::string From;
@@ -135,7 +145,8 @@
 using link_message =
     std::variant<entry_notice, fetch_request, fetch_reply, log_notice,
                  crash_notice, log_message, join_request, call_request,
-                 call_reply, liveness_notice, entry_alive, control_notice>;
+                 call_reply, liveness_notice, entry_alive, control_notice,
+                 crash_receipt>;
 
 std::string encodeLink(const link_message &Message);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/fleetlink/internal/linkmessages.cpp
+++ b/modules/fleetlink/internal/linkmessages.cpp
@@ -26,7 +26,10 @@
   return std::tie(Item.DataCentre, Item.Controls);
 }
 static auto fieldsOf(entry_alive & /*Item*/) { return std::tie(); }
-static auto fieldsOf(crash_notice &Item) { return std::tie(Item.Crash); }
+static auto fieldsOf(crash_notice &Item) {
+  return std::tie(Item.Id, Item.Crash);
+}
+static auto fieldsOf(crash_receipt &Item) { return std::tie(Item.Id); }
 static auto fieldsOf(log_message &Item) {
   return std::tie(Item.From, Item.Bytes);
 }
--- /dev/null
+++ b/modules/gateway/include/fulmar/gateway/crashreports.h
@@ -0,0 +1,58 @@
+// Reports of crashed targets on their way to the control instances.
+//
+// Answers cuts, elections and restarts of instances, in which a message that is
+// sent once gets lost: each report goes to one instance after the other until
+// one of them confirms that it was counted. Instances ignore repetitions.
+
+#ifndef FULMAR_GATEWAY_CRASHREPORTS_H
+#define FULMAR_GATEWAY_CRASHREPORTS_H
+
+#include "fulmar/base/time.h"
+#include "fulmar/controlstate/commands.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace fulmar::gateway {
+
+struct due_report {
+  std::uint64_t Id = 0;
+  /// Link address of the instance to tell.
+  std::string To;
+  controlstate::crash_command Crash;
+
+  friend auto operator<=>(const due_report &, const due_report &) = default;
+};
+
+class crash_reports {
+public:
+  void add(controlstate::crash_command Crash, base::instant Now);
+  /// An instance has counted the report; unknown ids are ignored.
+  void confirm(std::uint64_t Id);
+  /// What is to be sent now over the links to \p Instances, those that are
+  /// connected.
+  std::vector<due_report> takeDue(const std::vector<std::string> &Instances,
+                                  base::instant Now);
+
+  [[nodiscard]] std::size_t size() const { return Pending.size(); }
+
+private:
+  struct pending_report {
+    std::uint64_t Id = 0;
+    controlstate::crash_command Crash;
+    base::instant Since{};
+    base::instant DueAt{};
+    std::size_t Tries = 0;
+  };
+
+  /// In order of time; bounded.
+  std::deque<pending_report> Pending;
+  std::uint64_t LastId = 0;
+};
+
+} // namespace fulmar::gateway
+
+#endif // FULMAR_GATEWAY_CRASHREPORTS_H
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -7,6 +7,7 @@
 #include "fulmar/controlstate/commands.h"
 #include "fulmar/eventloop/framelink.h"
 #include "fulmar/fleetlink/linkmessages.h"
+#include "fulmar/gateway/crashreports.h"
 #include "fulmar/gateway/viewdecoder.h"
 #include "fulmar/publication/publisheditems.h"
 
@@ -36,6 +37,7 @@
   void addSeeds(const std::vector<std::string> &Seeds);
   /// Tells the control instances whether callers may be sent here.
   void setReady(bool Ready);
+  /// Goes on telling the control instances until one of them has counted it.
   void reportCrash(const controlstate::crash_command &Crash);
 
   [[nodiscard]] const fleet_view &view() const { return View; }
@@ -60,6 +62,7 @@
   [[nodiscard]] bool mayTeach(const control_link &Link) const;
   void tick();
   void announce();
+  void sendReports();
   void sendAll(const fleetlink::link_message &Message);
 
   eventloop::loop &Loop;
@@ -68,6 +71,7 @@
   std::map<std::string, control_link> Links;
   publication::published_items Items;
   view_decoder Decoder;
+  crash_reports Reports;
   fleet_view View;
   bool Ready = false;
   /// Ask for everything, because changes did not fit.
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -94,6 +94,9 @@
   else if (const auto *Reply =
                std::get_if<fleetlink::fetch_reply>(&Message.value()))
     take(*Reply);
+  else if (const auto *Receipt =
+               std::get_if<fleetlink::crash_receipt>(&Message.value()))
+    Reports.confirm(Receipt->Id);
 }
 
 void fleet_feed::take(const std::string &From,
@@ -177,6 +180,7 @@
 void fleet_feed::tick() {
   if (!FirstFetchArmed)
     fetchIfBehind(true);
+  sendReports();
 }
 
 void fleet_feed::announce() {
@@ -195,8 +199,19 @@
 }
 
 void fleet_feed::reportCrash(const controlstate::crash_command &Crash) {
-  // Any one instance passes it on; the state ignores repetitions.
-  sendAll(fleetlink::crash_notice{Crash});
+  Reports.add(Crash, Loop.now());
+  sendReports();
+}
+
+void fleet_feed::sendReports() {
+  std::vector<std::string> Connected;
+  for (const auto &[Address, Link] : Links) {
+    if (Link.Dialer->connected())
+      Connected.push_back(Address);
+  }
+  for (due_report &Due : Reports.takeDue(Connected, Loop.now()))
+    Links[Due.To].Dialer->send(fleetlink::encodeLink(
+        fleetlink::crash_notice{Due.Id, std::move(Due.Crash)}));
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/tests/fleetfeed_tests.cpp
+++ b/modules/gateway/tests/fleetfeed_tests.cpp
@@ -29,6 +29,9 @@
 
   [[nodiscard]] const std::string &dataCentre() const { return DataCentre; }
   [[nodiscard]] int asked() const { return Asked; }
+  [[nodiscard]] int crashesTold() const { return CrashesTold; }
+  /// Crashes are confirmed from now on.
+  void confirmCrashes() { Confirms = true; }
   /// A quorum has confirmed what it holds; tells those that are connected.
   void prove() {
     Proven = true;
@@ -42,6 +45,8 @@
     Link->start(
         [this, Raw = Link.get()](std::string_view Frame) {
           const auto Message = fleetlink::decodeLink(Frame);
+          if (Message)
+            takeCrash(*Raw, Message.value());
           if (!Message || !std::holds_alternative<fleetlink::fetch_request>(
                               Message.value()))
             return;
@@ -55,6 +60,16 @@
     tell(*Link);
   }
 
+  void takeCrash(eventloop::frame_link &Link,
+                 const fleetlink::link_message &Message) {
+    const auto *Crash = std::get_if<fleetlink::crash_notice>(&Message);
+    if (Crash == nullptr)
+      return;
+    ++CrashesTold;
+    if (Confirms)
+      Link.send(fleetlink::encodeLink(fleetlink::crash_receipt{Crash->Id}));
+  }
+
   void tell(eventloop::frame_link &Link) const {
     Link.send(fleetlink::encodeLink(
         fleetlink::log_notice{.Latest = 7, .ProofAgeMs = Proven ? 0 : -1}));
@@ -67,6 +82,8 @@
   std::vector<std::shared_ptr<eventloop::frame_link>> Links;
   publication::published_items Items;
   int Asked = 0;
+  int CrashesTold = 0;
+  bool Confirms = false;
   bool Proven = false;
 };
 
@@ -142,3 +159,21 @@
   const auto Feed = feed("e", {OnlyAddress});
   CHECK_TRUE(runUntil(Loop, milliseconds(2'500), [this] { return Views > 0; }));
 }
+
+// Load: a cut, an election or a restart of an instance, in which a message that
+// is sent once is lost.
+TEST(FleetFeed, aCrashIsReportedUntilAnInstanceHasCountedIt) {
+  test_control Control(Loop, OnlyAddress, "pos", {OnlyAddress});
+  Control.prove();
+  const auto Feed = feed("e", {OnlyAddress});
+  CHECK_TRUE(runUntil(Loop, milliseconds(500), [this] { return Views > 0; }));
+  Feed->reportCrash({.Fingerprint = "f", .Target = "t", .Incarnation = "1"});
+  CHECK_TRUE(runUntil(Loop, milliseconds(1'500),
+                      [&Control] { return Control.crashesTold() > 1; }));
+  Control.confirmCrashes();
+  const int Told = Control.crashesTold() + 1;
+  CHECK_TRUE(runUntil(Loop, milliseconds(1'000),
+                      [&] { return Control.crashesTold() == Told; }));
+  CHECK_FALSE(runUntil(Loop, milliseconds(1'000),
+                       [&] { return Control.crashesTold() > Told; }));
+}
