Bind an entry by its own evidence of crashes at once

Callers saw: while the control instances were away or electing, and for the second that a report, a commit and a notice take otherwise, an entry passed a request on that had just crashed two targets before its eyes. Cause: only the published quarantine was obeyed on the event loop. The older data plane (routing::router) refused such a request for a minute: one plane had been given what the other lacked. crash_watch now holds evidence, own and published quarantine for both. It also found two faults of the question to a target where an attempt broke: a second break waited for the pause after the first one, and a kept connection was asked that had been lost with the target; the question has a connection of its own now and counts against no budget.

--- a/modules/gateway/internal/channelpool.cpp
+++ b/modules/gateway/internal/channelpool.cpp
@@ -37,12 +37,16 @@
       return Channel;
     Channel->close();
   }
+  return open(Target);
+}
+
+channel_ptr channel_pool::open(const fleet::target_report &Target) {
   const auto Endpoint = eventloop::parseEndpoint(Target.Address);
   if (!Endpoint)
     return nullptr;
   Opened.add();
-  return std::make_shared<target_channel>(Loop, Key, Endpoint.value(), Dialect,
-                                          Held, Watcher);
+  return std::make_shared<target_channel>(Loop, keyOf(Target), Endpoint.value(),
+                                          Dialect, Held, Watcher);
 }
 
 void channel_pool::release(const channel_ptr &Channel) {
--- a/modules/gateway/internal/channelpool.h
+++ b/modules/gateway/internal/channelpool.h
@@ -27,6 +27,8 @@
   /// An idle connection to this run of the target, or a new one; null for an
   /// address that can't be read.
   channel_ptr acquire(const fleet::target_report &Target);
+  /// A channel that is not connected yet, whatever is kept.
+  channel_ptr open(const fleet::target_report &Target);
   /// Keeps the connection for another call if it is fit for one.
   void release(const channel_ptr &Channel);
   /// Closes what has been idle for too long, but for one connection to each
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -94,7 +94,7 @@
       Request.Method,
       std::string(headerOf(Request.Fields, "Host")) + Request.Target,
       *Request.Body);
-  if (State.Quarantined.contains(routing::fingerprintText(Fingerprint))) {
+  if (State.isQuarantined(Fingerprint)) {
     fail({base::error_kind::Quarantined, "the request crashes targets"});
     return false;
   }
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -224,6 +224,11 @@
   return Found == Services.end() ? nullptr : Found->second;
 }
 
+bool gateway_state::isQuarantined(std::uint64_t Fingerprint) const {
+  return Crashes.quarantined(Fingerprint, Loop.now()) ||
+         Quarantined.contains(routing::fingerprintText(Fingerprint));
+}
+
 std::shared_ptr<exchange> waiter_queue::takeFirst() {
   while (!Waiters.empty()) {
     auto First = Waiters.begin()->second.lock();
@@ -272,6 +277,7 @@
   State->Evaluator.every(EvaluateInterval, [this] {
     for (const auto &[Name, Service] : State->Services)
       Service->Placement.evaluate(State->Loop.now());
+    State->Crashes.expire(State->Loop.now());
     reportCrashes(*State);
   });
   return base::success();
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -9,7 +9,7 @@
 #include "fulmar/placement/recenttimes.h"
 #include "fulmar/placement/serviceplacement.h"
 #include "fulmar/placement/windowbudget.h"
-#include "fulmar/routing/crashdetector.h"
+#include "fulmar/routing/crashwatch.h"
 #include "internal/channelpool.h"
 #include "internal/suspectchecker.h"
 #include "internal/targetwish.h"
@@ -93,6 +93,9 @@
                 telemetry::metrics &Registry);
 
   [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
+  /// The control instances or this one have found that the request crashes
+  /// targets.
+  [[nodiscard]] bool isQuarantined(std::uint64_t Fingerprint) const;
   /// Takes from any answer of a target what it says of itself: that it leaves,
   /// or wants nothing for a while.
   void noteAnswer(const std::string &ChannelKey, unsigned Status,
@@ -114,7 +117,7 @@
   /// By route name.
   std::map<std::string, placement::route_times> Times;
   std::set<std::string> Quarantined;
-  routing::crash_detector Crashes;
+  routing::crash_watch Crashes;
   suspect_checker Suspects;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<front_session>> Sessions;
--- a/modules/gateway/internal/look.cpp
+++ b/modules/gateway/internal/look.cpp
@@ -60,9 +60,19 @@
 
 void look::start(std::function<void()> Done) {
   OnDone = std::move(Done);
+  Channel = State.Pool.acquire(Target);
+  ask();
+}
+
+void look::startAnew() {
+  Released = true;
+  Channel = State.Pool.open(Target);
+  ask();
+}
+
+void look::ask() {
   AskedAt = State.Loop.now();
   Service->Placement.looking(Target.Id, AskedAt);
-  Channel = State.Pool.acquire(Target);
   if (!Channel)
     return finish();
   Silence.after(SilenceLimit,
--- a/modules/gateway/internal/look.h
+++ b/modules/gateway/internal/look.h
@@ -25,6 +25,9 @@
   /// Calls \p Done once, now or later. Goes on after release(), so that its
   /// connection can be kept.
   void start(std::function<void()> Done);
+  /// The same over a connection of its own: a kept one may have been lost with
+  /// the target, which says nothing of the present.
+  void startAnew();
   /// The asker needs the connection no more.
   void release();
 
@@ -40,6 +43,7 @@
   channel_ptr takeChannel();
 
 private:
+  void ask();
   void onAnswer(const base::result<target_answer> &Answer);
   void onSilence();
   void readLoad(const http::fields &Fields);
--- a/modules/gateway/internal/suspectchecker.cpp
+++ b/modules/gateway/internal/suspectchecker.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Between two questions to a target that has not answered: as long as a look
-/// may take.
+/// may take. So few of them need no budget.
 constexpr base::duration AskInterval = std::chrono::milliseconds(250);
 
 } // namespace
@@ -22,36 +22,18 @@
   Asked.insert_or_assign(Target.Id,
                          suspect{.Service = Service, .Target = Target});
   // One question serves all the requests that broke at the same moment.
-  askLater({});
-}
-
-void suspect_checker::askLater(base::duration Wait) {
-  if (std::exchange(Armed, true))
-    return;
-  Timer.after(Wait, [this] {
-    Armed = false;
-    ask();
-  });
+  Timer.after({}, [this] { ask(); });
 }
 
 void suspect_checker::ask() {
-  const base::instant Now = State.Loop.now();
-  State.Crashes.forgetOld(Now);
+  State.Crashes.expire(State.Loop.now());
   std::erase_if(Asked, [this](const auto &Entry) {
     return !State.Crashes.suspects(base::target_id(Entry.first));
   });
-  const std::size_t Allowed = State.Probes.take(Asked.size(), Now);
-  std::size_t Count = 0;
-  for (const auto &[Id, Suspect] : Asked) {
-    if (Count++ == Allowed)
-      break;
-    const auto Question =
-        std::make_shared<look>(State, Suspect.Service, Suspect.Target);
-    Question->start({});
-    Question->release();
-  }
+  for (const auto &[Id, Suspect] : Asked)
+    std::make_shared<look>(State, Suspect.Service, Suspect.Target)->startAnew();
   if (!Asked.empty())
-    askLater(AskInterval);
+    Timer.after(AskInterval, [this] { ask(); });
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/suspectchecker.h
+++ b/modules/gateway/internal/suspectchecker.h
@@ -33,13 +33,11 @@
   };
 
   void ask();
-  void askLater(base::duration Wait);
 
   gateway_state &State;
   /// By target id. A target that was taken off the list is asked nevertheless.
   std::map<std::string, suspect> Asked;
   eventloop::timer Timer;
-  bool Armed = false;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/tests/crashevidence_tests.cpp
+++ b/modules/gateway/tests/crashevidence_tests.cpp
@@ -71,3 +71,18 @@
   STRCMP_CONTAINS("200 OK", Caller.Received.c_str());
   CHECK_FALSE(reported());
 }
+
+// Load: the control instances are away, and the request comes again.
+TEST(CrashEvidence, anEntryIsBoundByItsOwnEvidenceAtOnce) {
+  constexpr std::size_t Crashing = 4;
+  for (std::size_t Number = 0; Number < Crashing; ++Number)
+    addTarget([this, Number](const seen_request &) {
+      Loop.post([this, Number] { Targets[Number]->crash(); });
+      return target_action{};
+    });
+  std::string Last;
+  for (std::size_t Number = 0; Number < 2 * Crashing; ++Number)
+    Last = ask(Post);
+  UNSIGNED_LONGS_EQUAL(2, arrived());
+  STRCMP_CONTAINS("quarantined", Last.c_str());
+}
--- a/modules/routing/include/fulmar/routing/router.h
+++ b/modules/routing/include/fulmar/routing/router.h
@@ -8,9 +8,8 @@
 #include "fulmar/base/random.h"
 #include "fulmar/base/result.h"
 #include "fulmar/routing/admissionqueue.h"
-#include "fulmar/routing/crashdetector.h"
+#include "fulmar/routing/crashwatch.h"
 #include "fulmar/routing/outlierdetector.h"
-#include "fulmar/routing/quarantine.h"
 #include "fulmar/routing/routingpolicy.h"
 #include "fulmar/routing/routingtypes.h"
 
@@ -169,24 +168,19 @@
 
 private:
   service_router *find(const base::service_name &Service) const;
-  void observeCrashes(const permit &Permit, const attempt &Outcome,
-                      std::uint64_t Fingerprint, base::instant Now);
-  /// Drops what this instance holds against a request that was answered.
-  void noteAnswered(std::uint64_t Fingerprint, base::instant Now);
-  /// Quarantines requests that crashed two targets of this instance.
-  std::vector<ticket_answer> confirmCrashes(base::instant Now);
-  std::vector<ticket_answer> refuseWaiters(std::uint64_t Fingerprint);
+  /// These two refuse waiting requests that have become quarantined.
+  std::vector<ticket_answer> observeCrashes(const permit &Permit,
+                                            const attempt &Outcome,
+                                            std::uint64_t Fingerprint,
+                                            base::instant Now);
+  std::vector<ticket_answer>
+  refuseWaiters(const std::vector<std::uint64_t> &Fingerprints);
 
   base::random_source Random;
   std::map<base::service_name, std::unique_ptr<service_router>> Services;
   /// Permits and tickets share the numbers, over all services.
   std::uint64_t LastId = 0;
-  quarantine Quarantine;
-  crash_detector Crashes;
-  /// Confirmed and not yet taken.
-  std::vector<crash_report> Reports;
-  /// Targets that each suspected request crashed; bounded.
-  std::unordered_map<std::uint64_t, std::set<base::target_id>> CrashedTargets;
+  crash_watch Crashes;
 };
 
 } // namespace fulmar::routing
--- /dev/null
+++ b/modules/routing/internal/crashwatch.cpp
@@ -0,0 +1,77 @@
+// Counts this instance's own crashes.
+
+#include "fulmar/routing/crashwatch.h"
+
+#include <algorithm>
+
+namespace fulmar::routing {
+
+namespace {
+
+/// Crashes seen by this instance alone, after which it refuses the request.
+constexpr std::size_t CrashesToQuarantine = 2;
+constexpr std::size_t MaxCrashRecords = 1024;
+/// Until the control instances publish their own verdict.
+constexpr base::duration LocalQuarantineTime = std::chrono::seconds(60);
+
+} // namespace
+
+void crash_watch::answered(std::uint64_t Fingerprint, base::instant Now) {
+  Detector.answered(Fingerprint, Now);
+  CrashedRuns.erase(Fingerprint);
+  Own.withdraw(Fingerprint);
+  std::erase_if(Reports, [Fingerprint](const crash_report &Report) {
+    return Report.Fingerprint == Fingerprint;
+  });
+}
+
+std::vector<std::uint64_t>
+crash_watch::unreachable(const base::target_id &Target, base::instant Now) {
+  Detector.unreachable(Target, Now);
+  return count(Now);
+}
+
+std::vector<std::uint64_t>
+crash_watch::incarnationSeen(const base::target_id &Target,
+                             const std::string &Incarnation,
+                             base::instant Now) {
+  Detector.incarnationSeen(Target, Incarnation, Now);
+  return count(Now);
+}
+
+void crash_watch::withdraw(std::uint64_t Fingerprint) {
+  Published.withdraw(Fingerprint);
+  Own.withdraw(Fingerprint);
+  CrashedRuns.erase(Fingerprint);
+}
+
+std::optional<base::duration>
+crash_watch::quarantined(std::uint64_t Fingerprint, base::instant Now) const {
+  return std::max(Published.remaining(Fingerprint, Now),
+                  Own.remaining(Fingerprint, Now));
+}
+
+void crash_watch::expire(base::instant Now) {
+  Detector.forgetOld(Now);
+  Published.expire(Now);
+  Own.expire(Now);
+}
+
+std::vector<std::uint64_t> crash_watch::count(base::instant Now) {
+  std::vector<std::uint64_t> Refused;
+  for (crash_report &Report : Detector.takeReports()) {
+    if (CrashedRuns.size() >= MaxCrashRecords)
+      CrashedRuns.clear();
+    auto &Runs = CrashedRuns[Report.Fingerprint];
+    Runs.emplace(Report.Target, Report.Incarnation);
+    if (Runs.size() >= CrashesToQuarantine) {
+      Own.add(Report.Fingerprint, LocalQuarantineTime, Now);
+      Refused.push_back(Report.Fingerprint);
+    }
+    if (Reports.size() < MaxCrashRecords)
+      Reports.push_back(std::move(Report));
+  }
+  return Refused;
+}
+
+} // namespace fulmar::routing
--- a/modules/routing/internal/router.cpp
+++ b/modules/routing/internal/router.cpp
@@ -13,11 +13,6 @@
 
 namespace {
 
-constexpr std::size_t CrashesToQuarantine = 2;
-constexpr std::size_t MaxCrashRecords = 1024;
-/// Until the control instances publish theirs.
-constexpr base::duration LocalQuarantineTime = std::chrono::seconds(60);
-
 template <typename Item>
 void append(std::vector<Item> &All, std::vector<Item> More) {
   std::move(More.begin(), More.end(), std::back_inserter(All));
@@ -60,9 +55,10 @@
   service_router *Found = find(Service);
   if (Found == nullptr)
     return {};
+  std::vector<ticket_answer> Answers;
   for (const candidate &Listed : Candidates)
-    Crashes.incarnationSeen(Listed.Target, Listed.Incarnation, Now);
-  auto Answers = confirmCrashes(Now);
+    append(Answers, refuseWaiters(Crashes.incarnationSeen(
+                        Listed.Target, Listed.Incarnation, Now)));
   append(Answers, Found->candidatesChanged(Candidates, Now));
   return Answers;
 }
@@ -73,7 +69,7 @@
   service_router *Found = find(Request.Service);
   if (Found == nullptr || Found->removed())
     return {.Answer = givenUpKind(Earlier, base::error_kind::UnknownService)};
-  if (Quarantine.remaining(Request.Fingerprint, Now))
+  if (Crashes.quarantined(Request.Fingerprint, Now))
     return {.Answer = givenUpKind(Earlier, base::error_kind::Quarantined)};
   return Found->acquire(Request, Earlier, Now);
 }
@@ -83,8 +79,7 @@
                                           const request_profile &Request,
                                           base::instant Now) {
   service_router *Found = find(Request.Service);
-  observeCrashes(Permit, Outcome, Request.Fingerprint, Now);
-  auto Answers = confirmCrashes(Now);
+  auto Answers = observeCrashes(Permit, Outcome, Request.Fingerprint, Now);
   if (Found != nullptr)
     append(Answers, Found->finish(Permit, Outcome, Now));
   return Answers;
@@ -92,8 +87,7 @@
 
 std::vector<ticket_answer>
 router::targetUnreachable(const base::target_id &Target, base::instant Now) {
-  Crashes.unreachable(Target, Now);
-  return confirmCrashes(Now);
+  return refuseWaiters(Crashes.unreachable(Target, Now));
 }
 
 void router::cancel(const base::service_name &Service, ticket_id Ticket) {
@@ -102,7 +96,7 @@
 }
 
 std::vector<ticket_answer> router::tick(base::instant Now) {
-  Quarantine.expire(Now);
+  Crashes.expire(Now);
   std::erase_if(Services, [](const auto &Entry) {
     return Entry.second->removed() && Entry.second->demand() == 0;
   });
@@ -144,57 +138,41 @@
 }
 
 std::vector<crash_report> router::takeCrashReports() {
-  return std::exchange(Reports, {});
+  return Crashes.takeReports();
 }
 
-void router::observeCrashes(const permit &Permit, const attempt &Outcome,
-                            std::uint64_t Fingerprint, base::instant Now) {
+std::vector<ticket_answer> router::observeCrashes(const permit &Permit,
+                                                  const attempt &Outcome,
+                                                  std::uint64_t Fingerprint,
+                                                  base::instant Now) {
   const base::target_id &Target = Permit.Target.Target;
+  std::vector<ticket_answer> Answers;
   if (!Outcome.Incarnation.empty())
-    Crashes.incarnationSeen(Target, Outcome.Incarnation, Now);
+    append(Answers, refuseWaiters(Crashes.incarnationSeen(
+                        Target, Outcome.Incarnation, Now)));
   if (Outcome.End == attempt_end::NotConnected && !Outcome.BytesSent)
-    Crashes.unreachable(Target, Now);
+    append(Answers, refuseWaiters(Crashes.unreachable(Target, Now)));
   if (Fingerprint == 0)
-    return;
+    return Answers;
   if (Outcome.End == attempt_end::Answered && Outcome.Status < 500)
-    noteAnswered(Fingerprint, Now);
+    Crashes.answered(Fingerprint, Now);
   if (Outcome.End == attempt_end::Broken && Outcome.BytesSent)
     Crashes.broken({.Fingerprint = Fingerprint,
                     .Target = Target,
                     .Incarnation = Permit.Target.Incarnation},
                    Now);
-}
-
-void router::noteAnswered(std::uint64_t Fingerprint, base::instant Now) {
-  Crashes.answered(Fingerprint, Now);
-  CrashedTargets.erase(Fingerprint);
-  std::erase_if(Reports, [Fingerprint](const crash_report &Report) {
-    return Report.Fingerprint == Fingerprint;
-  });
-}
-
-std::vector<ticket_answer> router::confirmCrashes(base::instant Now) {
-  std::vector<ticket_answer> Answers;
-  for (crash_report &Report : Crashes.takeReports()) {
-    if (CrashedTargets.size() >= MaxCrashRecords)
-      CrashedTargets.clear();
-    auto &Targets = CrashedTargets[Report.Fingerprint];
-    Targets.insert(Report.Target);
-    if (Targets.size() >= CrashesToQuarantine) {
-      Quarantine.add(Report.Fingerprint, LocalQuarantineTime, Now);
-      append(Answers, refuseWaiters(Report.Fingerprint));
-    }
-    if (Reports.size() < MaxCrashRecords)
-      Reports.push_back(std::move(Report));
-  }
   return Answers;
 }
 
-std::vector<ticket_answer> router::refuseWaiters(std::uint64_t Fingerprint) {
-  const auto Matches = [Fingerprint](const waiter &Waiter) {
-    return Waiter.Request.Fingerprint == Fingerprint;
-  };
+std::vector<ticket_answer>
+router::refuseWaiters(const std::vector<std::uint64_t> &Fingerprints) {
   std::vector<ticket_answer> Answers;
+  if (Fingerprints.empty())
+    return Answers;
+  const auto Matches = [&Fingerprints](const waiter &Waiter) {
+    return std::find(Fingerprints.begin(), Fingerprints.end(),
+                     Waiter.Request.Fingerprint) != Fingerprints.end();
+  };
   for (const auto &[Name, Service] : Services)
     append(Answers, Service->refuse(Matches, base::error_kind::Quarantined));
   return Answers;
@@ -203,15 +181,14 @@
 std::vector<ticket_answer> router::quarantinePublished(
     std::uint64_t Fingerprint, std::chrono::system_clock::time_point Until,
     std::chrono::system_clock::time_point WallNow, base::instant Now) {
-  Quarantine.publish(Fingerprint, Until, WallNow, Now);
-  if (!Quarantine.remaining(Fingerprint, Now))
+  Crashes.publish(Fingerprint, Until, WallNow, Now);
+  if (!Crashes.quarantined(Fingerprint, Now))
     return {};
-  return refuseWaiters(Fingerprint);
+  return refuseWaiters({Fingerprint});
 }
 
 void router::quarantineRemoved(std::uint64_t Fingerprint) {
-  Quarantine.withdraw(Fingerprint);
-  CrashedTargets.erase(Fingerprint);
+  Crashes.withdraw(Fingerprint);
 }
 
 } // namespace fulmar::routing
--- a/modules/routing/tests/quarantine_tests.cpp
+++ b/modules/routing/tests/quarantine_tests.cpp
@@ -234,6 +234,37 @@
   CHECK(Detector.takeReports() == std::vector<crash_report>({Suspect}));
 }
 
+TEST_GROUP(CrashWatch) {
+  crash_watch Watch;
+  base::instant Now{seconds(100)};
+
+  std::vector<std::uint64_t> crash(const char *Target) {
+    const base::target_id Id{Target};
+    Watch.broken({.Fingerprint = Poison, .Target = Id, .Incarnation = "1"},
+                 Now);
+    return Watch.unreachable(Id, Now);
+  }
+};
+
+TEST(CrashWatch, theSecondCrashBindsThisInstance) {
+  CHECK(crash("a").empty());
+  CHECK(!Watch.quarantined(Poison, Now).has_value());
+  CHECK(crash("b") == std::vector<std::uint64_t>({Poison}));
+  CHECK(Watch.quarantined(Poison, Now).has_value());
+}
+
+TEST(CrashWatch, anAnswerLiftsWhatRestsOnOwnEvidenceAlone) {
+  crash("a");
+  crash("b");
+  Watch.answered(Poison, Now);
+  CHECK(!Watch.quarantined(Poison, Now).has_value());
+  CHECK(Watch.takeReports().empty());
+  const wall_clock::time_point Wall(seconds(1700000000));
+  Watch.publish(Poison, Wall + seconds(30), Wall, Now);
+  Watch.answered(Poison, Now);
+  CHECK(Watch.quarantined(Poison, Now).has_value());
+}
+
 TEST_GROUP(Fingerprint){};
 
 TEST(Fingerprint, textRoundTripAndSeparateFields) {
