Look at the quarantine before each send, not only at admission

Callers saw: a request that had crashed targets reached further ones after the whole fleet knew. Cause: the quarantine was read once, when a request was admitted. Requests that waited for room, second runs and sends after a refusal went out afterwards. It is now read in exchange::send, through which every send goes, and by waiting requests, which are answered at once. Evidence: CrashEvidence.aRequestThatWaitsIsNotSentOnceItIsQuarantined (1 send before, 0 now) and aSecondRunIsNotBegunOnceARequestIsQuarantined (2 and 1) failed first.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -325,6 +325,11 @@
 }
 
 void exchange::onWaited() {
+  if (State.isQuarantined(Fingerprint)) {
+    stopWaiting();
+    Choosing = false;
+    return refuseQuarantined();
+  }
   const bool Hopeless =
       placement::decideSend(std::nullopt, admissionRequest()) ==
       placement::send_decision::Refuse;
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -104,6 +104,7 @@
   void send(const std::string &Target, const channel_ptr &Channel,
             const placement::admission_offer &Offer);
   [[nodiscard]] std::string headFor(const std::string &Target) const;
+  void refuseQuarantined();
   void armHedge();
   void hedge();
   /// A second run could not be begun now; it may help later.
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -73,6 +73,10 @@
 
 void exchange::send(const std::string &Target, const channel_ptr &Channel,
                     const placement::admission_offer &Offer) {
+  if (State.isQuarantined(Fingerprint)) {
+    State.Pool.release(Channel);
+    return refuseQuarantined();
+  }
   if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
     State.Pool.release(Channel);
     if (!anyRunning())
@@ -104,6 +108,14 @@
   }
 }
 
+/// What it waited for, or was sent for before, does not matter any more.
+void exchange::refuseQuarantined() {
+  if (anyRunning())
+    return;
+  LastFailure = {base::error_kind::Quarantined, "the request crashes targets"};
+  giveUp();
+}
+
 void exchange::armHedge() {
   HedgeTimer.cancel();
   if (!Idempotent || Attempts.size() >= Route->Attempts)
--- a/modules/gateway/tests/crashevidence_tests.cpp
+++ b/modules/gateway/tests/crashevidence_tests.cpp
@@ -1,5 +1,6 @@
 // Which broken attempts an entry takes for the end of a target.
 
+#include "fulmar/routing/fingerprint.h"
 #include "fulmar/testing/property.h"
 #include "tests/gatewayfixture.h"
 
@@ -13,6 +14,12 @@
 constexpr base::duration ReportTime = milliseconds(1'500);
 const std::string Post = request("POST", "/write/1", "body");
 
+std::string fingerprintOf(const std::string &Method, const std::string &Path,
+                          const std::string &Body) {
+  return routing::fingerprintText(
+      routing::fingerprintOfContent(Method, "a.example" + Path, Body));
+}
+
 } // namespace
 
 TEST_GROUP_BASE(CrashEvidence, gateway_fixture){
@@ -86,3 +93,36 @@
   UNSIGNED_LONGS_EQUAL(2, arrived());
   STRCMP_CONTAINS("quarantined", Last.c_str());
 }
+
+// Load: every target is full, the request waits, and meanwhile the fleet learns
+// that it crashes targets.
+TEST(CrashEvidence, aRequestThatWaitsIsNotSentOnceItIsQuarantined) {
+  addTarget([](const seen_request &Seen) {
+    return target_action{.Bytes = scripted_target::ok(Seen, "done")};
+  });
+  Targets.front()->setLoad("4,8,4,100");
+  test_caller Caller(Loop);
+  Caller.send(Post);
+  runUntil([] { return false; }, milliseconds(100));
+  Quarantined = {fingerprintOf("POST", "/write/1", "body")};
+  apply();
+  Targets.front()->setLoad("0,0,4,100");
+  runUntil([&Caller] { return !Caller.Received.empty(); });
+  UNSIGNED_LONGS_EQUAL(0, arrived());
+  STRCMP_CONTAINS("HTTP/1.1 503", Caller.Received.c_str());
+  STRCMP_CONTAINS("quarantined", Caller.Received.c_str());
+}
+
+// Load: the first target is slow, and the fleet learns meanwhile.
+TEST(CrashEvidence, aSecondRunIsNotBegunOnceARequestIsQuarantined) {
+  for (int Number = 0; Number < 2; ++Number)
+    addTarget([](const seen_request &) { return target_action{}; });
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/1"));
+  runUntil([this] { return arrived() == 1; });
+  Quarantined = {fingerprintOf("GET", "/read/1", "")};
+  apply();
+  runUntil([&Caller] { return !Caller.Received.empty(); });
+  UNSIGNED_LONGS_EQUAL(1, arrived());
+  STRCMP_CONTAINS("HTTP/1.1 504", Caller.Received.c_str());
+}
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,8 @@
   eventloop::loop Loop;
   telemetry::metrics Metrics;
   std::vector<controlstate::crash_command> Crashes;
+  /// Fingerprints of requests that crash targets, as published.
+  std::set<std::string> Quarantined;
   class gateway Gateway {
     Loop,
         {.Listen = FrontAddress,
@@ -128,7 +131,8 @@
   void apply() {
     fleet_view View{.Serial = 1,
                     .Plan = std::make_shared<fleet::routing_plan>(Plan),
-                    .Entries = {"e"}};
+                    .Entries = {"e"},
+                    .Quarantined = Quarantined};
     for (const auto &Target : Targets)
       View.Targets.push_back({.Id = Target->id(),
                               .Service = "s",
