Don't ask callers of a quarantined request back within a second

Callers saw: 503 with Retry-After of 0.3 s for a request that stays refused for minutes. Cause: the time was computed from room at the service, which is not what the request waits for.

--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -117,7 +117,9 @@
   if (!RequestId.empty())
     appendHeader(Out.Headers, State.Options.Dialect.RequestId, RequestId);
   if (Out.Status == StatusUnavailable) {
-    appendHeader(Out.Headers, "Retry-After", secondsText(returnTime()));
+    const bool Refused = Error.Kind == base::error_kind::Quarantined;
+    appendHeader(Out.Headers, "Retry-After",
+                 secondsText(Refused ? Kind.RetryAfter.value() : returnTime()));
   }
   Cause = Error.Message;
   finish(std::move(Out));
