Take silence and answers that break off midway for breaks, too

Callers saw: a request whose targets went without a word was never suspected. Cause: only an attempt whose connection ended before an answer began was noted. One that had no answer when the caller's time was over, and one whose long answer broke off while it was passed on, were not. Both make a suspect now; the target is asked, and one that runs on is cleared by its answer. Evidence: CrashEvidence.aTargetThatFallsSilentUnderARequestAndIsGoneIsReported failed before; aTargetThatIsSlowAndRunsOnIsNotReported keeps the other direction.

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -368,15 +368,19 @@
     return endStream(attempt_quality::Error, "the answer took too long");
   const base::instant Now = State.Loop.now();
   const std::chrono::milliseconds Objective(Route->ObjectiveMs);
-  for (const attempt &Attempt : Attempts) {
-    if (Attempt.Running && placement::isHung(Now - Attempt.SentAt, Objective))
-      Service->Placement.failed(Attempt.Target, Now);
-  }
   if (anyRunning()) {
     MayHaveRun = true;
     LastFailure = {base::error_kind::TargetTimeout,
                    "no answer within the time"};
   }
+  for (const attempt &Attempt : Attempts) {
+    if (!Attempt.Running)
+      continue;
+    // A machine that goes without a word resets no connection.
+    noteBreak(Attempt.Target);
+    if (placement::isHung(Now - Attempt.SentAt, Objective))
+      Service->Placement.failed(Attempt.Target, Now);
+  }
   giveUp();
 }
 
--- a/modules/gateway/internal/exchangeanswers.cpp
+++ b/modules/gateway/internal/exchangeanswers.cpp
@@ -80,8 +80,10 @@
   OnPiece = std::move(Done);
   Attempts[*Streaming].Channel->readPiece(
       [Self = shared_from_this()](base::result<answer_piece> Piece) {
-        if (!Piece)
+        if (!Piece) {
+          Self->LastFailure = Piece.error();
           return Self->endStream(attempt_quality::Break, Piece.error().Message);
+        }
         if (Piece.value().Last)
           Self->endStream(attempt_quality::Good, "");
         if (const auto Called = std::exchange(Self->OnPiece, {}))
@@ -92,6 +94,8 @@
 void exchange::endStream(attempt_quality Quality, std::string_view Why) {
   const std::size_t Index = *std::exchange(Streaming, std::nullopt);
   if (Quality != attempt_quality::Good) {
+    if (Quality == attempt_quality::Break)
+      noteBreak(Attempts[Index].Target);
     if (Quality != attempt_quality::Cancelled)
       Service->Placement.failed(Attempts[Index].Target, State.Loop.now());
     Attempts[Index].Channel->close();
--- a/modules/gateway/tests/crashevidence_tests.cpp
+++ b/modules/gateway/tests/crashevidence_tests.cpp
@@ -126,3 +126,30 @@
   UNSIGNED_LONGS_EQUAL(1, arrived());
   STRCMP_CONTAINS("HTTP/1.1 504", Caller.Received.c_str());
 }
+
+TEST(CrashEvidence, callersOfAQuarantinedRequestAreNotAskedBackSoon) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  Quarantined = {fingerprintOf("POST", "/write/1", "body")};
+  apply();
+  STRCMP_CONTAINS("Retry-After: 60", ask(Post).c_str());
+}
+
+// Load: the target's machine is gone without a word; the caller's time ends.
+TEST(CrashEvidence, aTargetThatFallsSilentUnderARequestAndIsGoneIsReported) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  test_caller Caller(Loop);
+  Caller.send(Post);
+  runUntil([this] { return arrived() == 1; });
+  Targets.front()->stopListening();
+  runUntil([&Caller] { return !Caller.Received.empty(); });
+  STRCMP_CONTAINS("HTTP/1.1 504", Caller.Received.c_str());
+  CHECK_TRUE(reported());
+}
+
+// Load: a target that is slow, and alive.
+TEST(CrashEvidence, aTargetThatIsSlowAndRunsOnIsNotReported) {
+  addTarget([](const seen_request &) { return target_action{}; });
+  const std::string Answer = ask(Post);
+  STRCMP_CONTAINS("HTTP/1.1 504", Answer.c_str());
+  CHECK_FALSE(reported());
+}
--- a/modules/gateway/tests/scriptedtarget.cpp
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -140,9 +140,13 @@
     Connection->answerLate(Body);
 }
 
-void scripted_target::crash() {
+void scripted_target::stopListening() {
   error_code Ignored;
   Acceptor.close(Ignored);
+}
+
+void scripted_target::crash() {
+  stopListening();
   for (const auto &Held : Connections) {
     if (const auto Connection = Held.lock())
       Connection->reset();
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -68,6 +68,8 @@
   /// Health requests are answered after \p Delay.
   void setHealthDelay(base::duration Delay) { *HealthDelay = Delay; }
 
+  /// Refuses new connections and says nothing on those that are open.
+  void stopListening();
   /// Ends the target as a crash does: connections are reset, new ones refused.
   void crash();
 
