Refuse a request at its next crash after a quarantine, and for longer

Callers saw: once its quarantine was over, a request could end two further targets, each ten minutes, for as long as it came again. Cause: the end of a quarantine forgot that there had been one. A quarantine that is lifted because a target was at fault is not remembered. Evidence: Crashes.eachFurtherQuarantineOfARequestTakesOneCrashAndLastsLonger failed before; aRequestThatCrashesNothingForADayHasACleanRecord bounds it; a table that an earlier version wrote is read (theTableOfAnEarlierVersionIsRead).

--- a/modules/controlstate/include/fulmar/controlstate/crashtable.h
+++ b/modules/controlstate/include/fulmar/controlstate/crashtable.h
@@ -3,7 +3,9 @@
 // target that crashes run after run, on many different requests, is itself at
 // fault: its reports do not count against requests that were there at less than
 // half of its crashes, and quarantines that rested on them are lifted. Requests
-// that broke at one and the same crash say nothing about the target.
+// that broke at one and the same crash say nothing about the target. A request
+// that crashes a target again after its quarantine is refused again at once,
+// and for twice as long.
 
 #ifndef FULMAR_CONTROLSTATE_CRASHTABLE_H
 #define FULMAR_CONTROLSTATE_CRASHTABLE_H
@@ -32,6 +34,10 @@
 };
 
 inline constexpr std::size_t MaxCrashReports = 10'000;
+/// Longest quarantine, and how long its end is remembered: a day, as the policy
+/// bounds its own times.
+inline constexpr std::int64_t MaxQuarantineMs = 86'400'000;
+inline constexpr std::size_t MaxPastQuarantines = 1'000;
 /// Distinct crashes that put a request in quarantine.
 inline constexpr std::size_t QuarantineCrashes = 2;
 
@@ -63,6 +69,17 @@
     return std::tie(Item.Command, Item.AtMs, Item.Discounted);
   }
 
+  /// Of a request that has been in quarantine before.
+  struct past_quarantine {
+    std::int64_t EndedMs = 0;
+    std::int64_t LastedMs = 0;
+  };
+  friend auto fieldsOf(past_quarantine &Item) {
+    return std::tie(Item.EndedMs, Item.LastedMs);
+  }
+
+  void quarantine(const std::string &Fingerprint, std::int64_t NowMs,
+                  const crash_rules &Rules);
   [[nodiscard]] bool contains(const crash_command &Crash) const;
   /// Requests by the run that crashed on them.
   using crash_history = std::map<std::string, std::set<std::string>>;
@@ -77,6 +94,8 @@
   /// In order of time.
   std::deque<crash> Crashes;
   std::map<std::string, std::int64_t> Quarantines;
+  /// By fingerprint; holds each present quarantine, too. Bounded.
+  std::map<std::string, past_quarantine> Past;
 };
 
 } // namespace fulmar::controlstate
--- a/modules/controlstate/internal/crashtable.cpp
+++ b/modules/controlstate/internal/crashtable.cpp
@@ -5,22 +5,24 @@
 #include "fulmar/controlstate/commandpacking.h"
 
 #include <algorithm>
-#include <set>
 
 namespace fulmar::controlstate {
 
 crash_reply crash_table::report(const crash_command &Crash, std::int64_t NowMs,
                                 const crash_rules &Rules) {
   (void)advance(NowMs, Rules);
-  if (!contains(Crash)) {
+  const bool New = !contains(Crash);
+  if (New) {
     if (Crashes.size() >= MaxCrashReports)
       Crashes.pop_front();
     Crashes.push_back({.Command = Crash, .AtMs = NowMs});
   }
   discount(Crash.Target, excusedBy(Crash.Target, Rules));
   const std::size_t Count = crashesOf(Crash.Fingerprint);
-  if (Count >= QuarantineCrashes)
-    Quarantines.try_emplace(Crash.Fingerprint, NowMs + Rules.QuarantineMs);
+  const std::size_t Needed =
+      Past.contains(Crash.Fingerprint) ? 1 : QuarantineCrashes;
+  if (New && Count >= Needed && !Quarantines.contains(Crash.Fingerprint))
+    quarantine(Crash.Fingerprint, NowMs, Rules);
   return {.Crashes = Count,
           .Quarantined = Quarantines.contains(Crash.Fingerprint)};
 }
@@ -28,11 +30,30 @@
 bool crash_table::advance(std::int64_t NowMs, const crash_rules &Rules) {
   while (!Crashes.empty() && Crashes.front().AtMs + Rules.WindowMs <= NowMs)
     Crashes.pop_front();
+  std::erase_if(Past, [NowMs](const auto &Entry) {
+    return Entry.second.EndedMs + MaxQuarantineMs <= NowMs;
+  });
   return std::erase_if(Quarantines, [&](const auto &Entry) {
            return Entry.second <= NowMs;
          }) > 0;
 }
 
+void crash_table::quarantine(const std::string &Fingerprint, std::int64_t NowMs,
+                             const crash_rules &Rules) {
+  const auto Earlier = Past.find(Fingerprint);
+  const std::int64_t LastsMs =
+      Earlier == Past.end()
+          ? Rules.QuarantineMs
+          : std::min(2 * Earlier->second.LastedMs, MaxQuarantineMs);
+  Quarantines[Fingerprint] = NowMs + LastsMs;
+  Past[Fingerprint] = {.EndedMs = NowMs + LastsMs, .LastedMs = LastsMs};
+  if (Past.size() > MaxPastQuarantines)
+    Past.erase(std::min_element(
+        Past.begin(), Past.end(), [](const auto &Left, const auto &Right) {
+          return Left.second.EndedMs < Right.second.EndedMs;
+        }));
+}
+
 bool crash_table::contains(const crash_command &Crash) const {
   return std::any_of(Crashes.begin(), Crashes.end(), [&](const crash &Known) {
     return Known.Command == Crash;
@@ -86,21 +107,25 @@
     Crash.Discounted = true;
     Weakened.insert(Crash.Command.Fingerprint);
   }
-  std::erase_if(Quarantines, [&](const auto &Entry) {
-    return Weakened.contains(Entry.first) &&
-           crashesOf(Entry.first) < QuarantineCrashes;
-  });
+  for (const std::string &Fingerprint : Weakened) {
+    if (crashesOf(Fingerprint) >= QuarantineCrashes)
+      continue;
+    Quarantines.erase(Fingerprint);
+    Past.erase(Fingerprint);
+  }
 }
 
 std::string crash_table::encode() const {
-  return claims::packValue(std::make_tuple(Crashes, Quarantines));
+  return claims::packValue(std::make_tuple(Crashes, Quarantines, Past));
 }
 
 base::result<void> crash_table::decode(std::string_view Encoded) {
+  // The last table is empty where an earlier version wrote two of them.
   using tables =
-      std::tuple<std::deque<crash>, std::map<std::string, std::int64_t>>;
+      std::tuple<std::deque<crash>, std::map<std::string, std::int64_t>,
+                 std::map<std::string, past_quarantine>>;
   BOOST_OUTCOME_TRY(Decoded, claims::unpackValue<tables>(Encoded));
-  std::tie(Crashes, Quarantines) = std::move(Decoded);
+  std::tie(Crashes, Quarantines, Past) = std::move(Decoded);
   return base::success();
 }
 
--- a/modules/controlstate/tests/members_tests.cpp
+++ b/modules/controlstate/tests/members_tests.cpp
@@ -3,6 +3,7 @@
 #include "tests/statefixture.h"
 
 #include "fulmar/claims/holder.h"
+#include "fulmar/controlstate/commandpacking.h"
 #include "fulmar/controlstate/jsonforms.h"
 #include "fulmar/testing/property.h"
 
@@ -108,6 +109,43 @@
   LONGS_EQUAL(0, Table.quarantines().size());
 }
 
+// Load: a caller that repeats its request for hours.
+TEST(Crashes, eachFurtherQuarantineOfARequestTakesOneCrashAndLastsLonger) {
+  report("f", "t1");
+  report("f", "t2");
+  std::int64_t Now = 0;
+  std::int64_t Time = rules().QuarantineMs;
+  for (int Term = 2; Term < 6; ++Term) {
+    Now += Time;
+    Table.advance(Now, rules());
+    LONGS_EQUAL(0, Table.quarantines().size());
+    const std::string Run = std::to_string(Term);
+    CHECK(report("f", "t1", Run, Now).Quarantined);
+    Time *= 2;
+    Table.advance(Now + Time - 1, rules());
+    LONGS_EQUAL(1, Table.quarantines().size());
+  }
+}
+
+TEST(Crashes, aRequestThatCrashesNothingForADayHasACleanRecord) {
+  constexpr std::int64_t DayMs = 86'400'000;
+  report("f", "t1");
+  report("f", "t2");
+  Table.advance(rules().QuarantineMs, rules());
+  const std::int64_t Later = rules().QuarantineMs + DayMs;
+  CHECK(!report("f", "t1", "2", Later).Quarantined);
+}
+
+TEST(Crashes, theTableOfAnEarlierVersionIsRead) {
+  using earlier = std::tuple<std::deque<int>, std::map<std::string, int>>;
+  const std::string Encoded = claims::packValue(earlier({}, {{"f", 5'000}}));
+  CHECK(Table.decode(Encoded).has_value());
+  LONGS_EQUAL(1, Table.quarantines().size());
+  crash_table Copy;
+  CHECK(Copy.decode(Table.encode()).has_value());
+  LONGS_EQUAL(1, Copy.quarantines().size());
+}
+
 TEST(Crashes, theNextRunOfTheSameTargetCountsToo) {
   report("f", "t1", "1");
   CHECK(report("f", "t1", "2").Quarantined);
