Keep a published quarantine at an entry for as long as it may last

Found by reading, beside the renewal. Quarantine.aLateOrFarEndIsBounded holds against the new bound.

--- a/modules/routing/include/fulmar/routing/quarantine.h
+++ b/modules/routing/include/fulmar/routing/quarantine.h
@@ -16,8 +16,9 @@
 
 class quarantine {
 public:
-  /// Longest time kept, whatever the wall clocks say.
-  static constexpr base::duration MaxTime = std::chrono::hours(1);
+  /// Longest time kept, whatever the wall clocks say: as long as a quarantine
+  /// may last.
+  static constexpr base::duration MaxTime = std::chrono::hours(24);
 
   /// Takes a published item over. The wall clock is read once, on receipt;
   /// later steps of it do not matter.
