Lift a quarantine once an entry has seen the request answered

Callers would see: a request that many send, and that ran at two targets of a rack which died, refused everywhere for ten minutes although other targets had answered it. Cause: evidence is gathered by each entry alone, and only the entry that saw the answer knew of it. Entries now object to a published quarantine where they have seen the request answered, with the age of the answer, repeated until it is confirmed like the reports. Reports of crashes up to then are dropped; those that come later count. The test's write route was declared idempotent by mistake: anUnsafeOneIsSentToFew... now plays what its name says.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -90,6 +90,7 @@
   void take(const link_ptr &Link, const fleetlink::entry_notice &Notice);
   void take(const link_ptr &Link, const fleetlink::fetch_request &Request);
   void take(const link_ptr &Link, const fleetlink::crash_notice &Notice);
+  void take(const link_ptr &Link, const fleetlink::answered_notice &Notice);
   void take(const link_ptr &Link, const fleetlink::log_message &Message);
   void take(const link_ptr &Link, const fleetlink::join_request &Request);
   void take(const link_ptr &Link, const fleetlink::call_request &Request);
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -122,6 +122,21 @@
           });
 }
 
+void control_node::take(const link_ptr &Link,
+                        const fleetlink::answered_notice &Notice) {
+  propose(Notice.Answer, CrashCallLimit,
+          [Link, Notice](const base::result<controlstate::reply> &Got) {
+            telemetry::logChange(
+                telemetry::log_level::Info, "control", "crash-answered",
+                {{"fingerprint", Notice.Answer.Fingerprint},
+                 {"age_ms", std::to_string(Notice.Answer.AgeMs)},
+                 {"error", Got ? "" : Got.error().Message}});
+            if (Got)
+              Link->send(
+                  fleetlink::encodeLink(fleetlink::crash_receipt{Notice.Id}));
+          });
+}
+
 void control_node::take(const link_ptr & /*Link*/,
                         const fleetlink::log_message &Message) {
   Voters.heard(Message.From, Loop.now());
--- a/modules/controlstate/include/fulmar/controlstate/commandpacking.h
+++ b/modules/controlstate/include/fulmar/controlstate/commandpacking.h
@@ -35,6 +35,9 @@
 inline auto fieldsOf(crash_command &Item) {
   return std::tie(Item.Fingerprint, Item.Target, Item.Incarnation);
 }
+inline auto fieldsOf(answered_command &Item) {
+  return std::tie(Item.Fingerprint, Item.AgeMs);
+}
 inline auto fieldsOf(advance_command & /*Item*/) { return std::tie(); }
 inline auto fieldsOf(plan_command &Item) {
   return std::tie(Item.Version, Item.Plan, Item.Document);
--- a/modules/controlstate/include/fulmar/controlstate/commands.h
+++ b/modules/controlstate/include/fulmar/controlstate/commands.h
@@ -117,6 +117,16 @@
                           const crash_command &) = default;
 };
 
+/// A target answered the request, so that it crashes no target.
+struct answered_command {
+  std::string Fingerprint;
+  /// Time since the answer.
+  std::int64_t AgeMs = 0;
+
+  friend auto operator<=>(const answered_command &,
+                          const answered_command &) = default;
+};
+
 /// Advances the replicated clock and drops what is past its retention.
 struct advance_command {
   friend auto operator<=>(const advance_command &,
@@ -169,7 +179,7 @@
     std::variant<edit_command, data_centre_command, member_command,
                  expire_command, claim_command, settle_command, crash_command,
                  advance_command, plan_command, target_command,
-                 target_left_command, target_expired_command>;
+                 target_left_command, target_expired_command, answered_command>;
 
 struct command {
   /// The leader's wall clock. The replicated clock never goes back and
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -84,6 +84,7 @@
   reply applyBody(const claim_command &Claim);
   reply applyBody(const settle_command &Settle);
   reply applyBody(const crash_command &Crash);
+  reply applyBody(const answered_command &Answer);
   reply applyBody(const advance_command &Advance);
   reply applyBody(const plan_command &Replacement);
   reply applyBody(const target_command &Reported);
--- a/modules/controlstate/include/fulmar/controlstate/crashtable.h
+++ b/modules/controlstate/include/fulmar/controlstate/crashtable.h
@@ -38,6 +38,9 @@
 /// bounds its own times.
 inline constexpr std::int64_t MaxQuarantineMs = 86'400'000;
 inline constexpr std::size_t MaxPastQuarantines = 1'000;
+/// A crash is reported within this time: it is confirmed first, and its report
+/// may be repeated.
+inline constexpr std::int64_t CrashReportMs = 1'500;
 /// Distinct crashes that put a request in quarantine.
 inline constexpr std::size_t QuarantineCrashes = 2;
 
@@ -46,6 +49,9 @@
 public:
   crash_reply report(const crash_command &Crash, std::int64_t NowMs,
                      const crash_rules &Rules);
+  /// Drops what was held against a request that a target answered at \p AtMs,
+  /// but for crashes since.
+  void answered(const std::string &Fingerprint, std::int64_t AtMs);
   /// Drops reports and quarantines whose time has passed. True when a
   /// quarantine ended.
   bool advance(std::int64_t NowMs, const crash_rules &Rules);
@@ -88,6 +94,8 @@
   [[nodiscard]] std::set<std::string> excusedBy(const std::string &Target,
                                                 const crash_rules &Rules) const;
   [[nodiscard]] std::size_t crashesOf(const std::string &Fingerprint) const;
+  /// Lifts the quarantine of a request whose crashes no longer suffice for it.
+  void reconsider(const std::string &Fingerprint);
   void discount(const std::string &Target,
                 const std::set<std::string> &Excused);
 
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -181,6 +181,15 @@
   return Reply;
 }
 
+reply control_state::applyBody(const answered_command &Answer) {
+  if (!isPlainName(Answer.Fingerprint) || Answer.AgeMs < 0)
+    return failed(base::error_kind::BadRequest,
+                  "an answer needs a fingerprint and an age");
+  Crashes.answered(Answer.Fingerprint, NowMs - Answer.AgeMs);
+  publishQuarantines();
+  return done_reply{};
+}
+
 reply control_state::applyBody(const advance_command & /*Advance*/) {
   return done_reply{};
 }
--- a/modules/controlstate/internal/crashtable.cpp
+++ b/modules/controlstate/internal/crashtable.cpp
@@ -107,12 +107,24 @@
     Crash.Discounted = true;
     Weakened.insert(Crash.Command.Fingerprint);
   }
-  for (const std::string &Fingerprint : Weakened) {
-    if (crashesOf(Fingerprint) >= QuarantineCrashes)
-      continue;
-    Quarantines.erase(Fingerprint);
-    Past.erase(Fingerprint);
-  }
+  for (const std::string &Fingerprint : Weakened)
+    reconsider(Fingerprint);
+}
+
+void crash_table::reconsider(const std::string &Fingerprint) {
+  if (crashesOf(Fingerprint) >= QuarantineCrashes)
+    return;
+  Quarantines.erase(Fingerprint);
+  Past.erase(Fingerprint);
+}
+
+void crash_table::answered(const std::string &Fingerprint, std::int64_t AtMs) {
+  const auto Dropped = std::erase_if(Crashes, [&](const crash &Crash) {
+    return Crash.Command.Fingerprint == Fingerprint &&
+           Crash.AtMs <= AtMs + CrashReportMs;
+  });
+  if (Dropped > 0)
+    reconsider(Fingerprint);
 }
 
 std::string crash_table::encode() const {
--- a/modules/controlstate/tests/members_tests.cpp
+++ b/modules/controlstate/tests/members_tests.cpp
@@ -109,6 +109,19 @@
   LONGS_EQUAL(0, Table.quarantines().size());
 }
 
+// Load: half of the targets lose power, and the others answer the same request.
+TEST(Crashes, anAnswerClearsTheRequestOfEarlierCrashesOnly) {
+  report("f", "t1", "1", 100);
+  CHECK(report("f", "t2", "1", 200).Quarantined);
+  Table.answered("f", 100 - CrashReportMs - 1);
+  LONGS_EQUAL(1, Table.quarantines().size());
+  Table.answered("f", 100 - CrashReportMs);
+  LONGS_EQUAL(0, Table.quarantines().size());
+  CHECK(report("f", "t3", "1", 300).Quarantined);
+  Table.answered("f", 300);
+  CHECK(!report("f", "t4", "1", 400).Quarantined);
+}
+
 // Load: a caller that repeats its request for hours.
 TEST(Crashes, eachFurtherQuarantineOfARequestTakesOneCrashAndLastsLonger) {
   report("f", "t1");
--- a/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
+++ b/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
@@ -82,7 +82,18 @@
   friend auto operator<=>(const crash_notice &, const crash_notice &) = default;
 };
 
-/// The crash with this number was counted, durably.
+/// A target answered a request that is in quarantine. Repeated until it is
+/// confirmed.
+struct answered_notice {
+  /// The sender's own number, from the same count as those of crashes.
+  std::uint64_t Id = 0;
+  controlstate::answered_command Answer;
+
+  friend auto operator<=>(const answered_notice &,
+                          const answered_notice &) = default;
+};
+
+/// What was told under this number is in the log.
 struct crash_receipt {
   std::uint64_t Id = 0;
 
@@ -146,7 +157,7 @@
     std::variant<entry_notice, fetch_request, fetch_reply, log_notice,
                  crash_notice, log_message, join_request, call_request,
                  call_reply, liveness_notice, entry_alive, control_notice,
-                 crash_receipt>;
+                 crash_receipt, answered_notice>;
 
 std::string encodeLink(const link_message &Message);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/fleetlink/internal/linkmessages.cpp
+++ b/modules/fleetlink/internal/linkmessages.cpp
@@ -29,6 +29,9 @@
 static auto fieldsOf(crash_notice &Item) {
   return std::tie(Item.Id, Item.Crash);
 }
+static auto fieldsOf(answered_notice &Item) {
+  return std::tie(Item.Id, Item.Answer);
+}
 static auto fieldsOf(crash_receipt &Item) { return std::tie(Item.Id); }
 static auto fieldsOf(log_message &Item) {
   return std::tie(Item.From, Item.Bytes);
--- a/modules/fleetlink/tests/linkmessages_tests.cpp
+++ b/modules/fleetlink/tests/linkmessages_tests.cpp
@@ -22,6 +22,7 @@
       control_notice{.DataCentre = "pos", .Controls = {"10.0.0.1:1"}},
       crash_notice{7, {.Fingerprint = "f", .Target = "t", .Incarnation = "1"}},
       crash_receipt{7},
+      answered_notice{8, {.Fingerprint = "f", .AgeMs = 9}},
       log_message{.From = "a", .Bytes = std::string("\0b", 2)},
       join_request{.Id = "c"},
       call_request{.From = "a",
--- a/modules/gateway/include/fulmar/gateway/crashreports.h
+++ b/modules/gateway/include/fulmar/gateway/crashreports.h
@@ -1,4 +1,5 @@
-// Reports of crashed targets on their way to the control instances.
+// Reports of crashed targets, and of answers to requests that are in
+// quarantine, on their way to the control instances.
 //
 // Answers cuts, elections and restarts of instances, in which a message that is
 // sent once gets lost: each report goes to one instance after the other until
@@ -8,12 +9,13 @@
 #define FULMAR_GATEWAY_CRASHREPORTS_H
 
 #include "fulmar/base/time.h"
-#include "fulmar/controlstate/commands.h"
+#include "fulmar/fleetlink/linkmessages.h"
 
 #include <compare>
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace fulmar::gateway {
@@ -22,7 +24,7 @@
   std::uint64_t Id = 0;
   /// Link address of the instance to tell.
   std::string To;
-  controlstate::crash_command Crash;
+  fleetlink::link_message Message;
 
   friend auto operator<=>(const due_report &, const due_report &) = default;
 };
@@ -30,6 +32,8 @@
 class crash_reports {
 public:
   void add(controlstate::crash_command Crash, base::instant Now);
+  void addAnswer(std::string Fingerprint, base::instant AnsweredAt,
+                 base::instant Now);
   /// An instance has counted the report; unknown ids are ignored.
   void confirm(std::uint64_t Id);
   /// What is to be sent now over the links to \p Instances, those that are
@@ -40,14 +44,23 @@
   [[nodiscard]] std::size_t size() const { return Pending.size(); }
 
 private:
+  struct answer {
+    std::string Fingerprint;
+    base::instant At{};
+  };
   struct pending_report {
     std::uint64_t Id = 0;
-    controlstate::crash_command Crash;
+    std::variant<controlstate::crash_command, answer> Told;
     base::instant Since{};
     base::instant DueAt{};
     std::size_t Tries = 0;
   };
 
+  void append(std::variant<controlstate::crash_command, answer> Told,
+              base::instant Now);
+  static fleetlink::link_message messageFor(const pending_report &Report,
+                                            base::instant Now);
+
   /// In order of time; bounded.
   std::deque<pending_report> Pending;
   std::uint64_t LastId = 0;
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -39,6 +39,8 @@
   void setReady(bool Ready);
   /// Goes on telling the control instances until one of them has counted it.
   void reportCrash(const controlstate::crash_command &Crash);
+  /// The same for an answer to a request that is in quarantine.
+  void reportAnswer(const std::string &Fingerprint, base::instant AnsweredAt);
 
   [[nodiscard]] const fleet_view &view() const { return View; }
 
--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -31,6 +31,9 @@
   base::duration Grace = std::chrono::seconds(6);
   /// Called for each target that a request has crashed.
   std::function<void(const controlstate::crash_command &)> OnCrash;
+  /// Called for each answer to a request that is in quarantine.
+  std::function<void(const std::string &Fingerprint, base::instant AnsweredAt)>
+      OnQuarantinedAnswer;
 };
 
 struct gateway_state;
--- a/modules/gateway/internal/crashreports.cpp
+++ b/modules/gateway/internal/crashreports.cpp
@@ -22,10 +22,32 @@
 } // namespace
 
 void crash_reports::add(controlstate::crash_command Crash, base::instant Now) {
+  append(std::move(Crash), Now);
+}
+
+void crash_reports::addAnswer(std::string Fingerprint, base::instant AnsweredAt,
+                              base::instant Now) {
+  append(answer{.Fingerprint = std::move(Fingerprint), .At = AnsweredAt}, Now);
+}
+
+void crash_reports::append(
+    std::variant<controlstate::crash_command, answer> Told, base::instant Now) {
   if (Pending.size() >= MaxPending)
     Pending.pop_front();
   Pending.push_back(
-      {.Id = ++LastId, .Crash = std::move(Crash), .Since = Now, .DueAt = Now});
+      {.Id = ++LastId, .Told = std::move(Told), .Since = Now, .DueAt = Now});
+}
+
+fleetlink::link_message crash_reports::messageFor(const pending_report &Report,
+                                                  base::instant Now) {
+  if (const auto *Crash =
+          std::get_if<controlstate::crash_command>(&Report.Told))
+    return fleetlink::crash_notice{Report.Id, *Crash};
+  const answer &Answer = std::get<answer>(Report.Told);
+  const auto Age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - Answer.At);
+  return fleetlink::answered_notice{
+      Report.Id, {.Fingerprint = Answer.Fingerprint, .AgeMs = Age.count()}};
 }
 
 void crash_reports::confirm(std::uint64_t Id) {
@@ -45,15 +67,16 @@
     if (Now < Report.DueAt)
       continue;
     // Reports spread over the instances, and each try meets another one.
+    const std::string Key = std::to_string(Report.Id);
     std::vector<std::string> Order = Instances;
     std::sort(Order.begin(), Order.end(),
               [&](const auto &Left, const auto &Right) {
-                return base::rendezvousWeight(Report.Crash.Target, Left) >
-                       base::rendezvousWeight(Report.Crash.Target, Right);
+                return base::rendezvousWeight(Key, Left) >
+                       base::rendezvousWeight(Key, Right);
               });
     Due.push_back({.Id = Report.Id,
                    .To = Order[Report.Tries++ % Order.size()],
-                   .Crash = Report.Crash});
+                   .Message = messageFor(Report, Now)});
     Report.DueAt = Now + RepeatInterval;
   }
   return Due;
--- a/modules/gateway/internal/exchangesends.cpp
+++ b/modules/gateway/internal/exchangesends.cpp
@@ -234,7 +234,7 @@
   const bool Success = Answer.Status < FirstRedirect;
   // Whatever it tells: the target has outlived the run.
   if (Signed && Answer.Whole)
-    State.Crashes.answered(Fingerprint, State.Loop.now());
+    State.noteOutlived(Fingerprint);
   if (Success && Signed && !Encoded) {
     Times->Usual.record(
         placement::normalised(State.Loop.now() - Attempts[Index].SentAt,
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -203,15 +203,20 @@
   sendReports();
 }
 
+void fleet_feed::reportAnswer(const std::string &Fingerprint,
+                              base::instant AnsweredAt) {
+  Reports.addAnswer(Fingerprint, AnsweredAt, Loop.now());
+  sendReports();
+}
+
 void fleet_feed::sendReports() {
   std::vector<std::string> Connected;
   for (const auto &[Address, Link] : Links) {
     if (Link.Dialer->connected())
       Connected.push_back(Address);
   }
-  for (due_report &Due : Reports.takeDue(Connected, Loop.now()))
-    Links[Due.To].Dialer->send(fleetlink::encodeLink(
-        fleetlink::crash_notice{Due.Id, std::move(Due.Crash)}));
+  for (const due_report &Due : Reports.takeDue(Connected, Loop.now()))
+    Links[Due.To].Dialer->send(fleetlink::encodeLink(Due.Message));
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -224,6 +224,30 @@
   return Found == Services.end() ? nullptr : Found->second;
 }
 
+void gateway_state::noteOutlived(std::uint64_t Fingerprint) {
+  Crashes.answered(Fingerprint, Loop.now());
+  const std::string Text = routing::fingerprintText(Fingerprint);
+  if (Quarantined.contains(Text) && Options.OnQuarantinedAnswer)
+    Options.OnQuarantinedAnswer(Text, Loop.now());
+}
+
+void gateway_state::setQuarantined(const std::set<std::string> &Published) {
+  for (const std::string &Text : Published) {
+    const auto Fingerprint = routing::parseFingerprint(Text);
+    if (!Fingerprint || Quarantined.contains(Text))
+      continue;
+    const auto Last = Crashes.lastAnswer(*Fingerprint);
+    telemetry::logChange(
+        telemetry::log_level::Warning, "gateway", "request-quarantined",
+        {{"fingerprint", Text},
+         {"answered_ms_ago",
+          Last ? std::to_string(millisecondsOf(Loop.now() - *Last)) : ""}});
+    if (Last && Options.OnQuarantinedAnswer)
+      Options.OnQuarantinedAnswer(Text, *Last);
+  }
+  Quarantined = Published;
+}
+
 bool gateway_state::isQuarantined(std::uint64_t Fingerprint) const {
   return Crashes.quarantined(Fingerprint, Loop.now()) ||
          Quarantined.contains(routing::fingerprintText(Fingerprint));
@@ -286,7 +310,7 @@
 void gateway::apply(const fleet_view &View) {
   applyPlan(*State, View.Plan);
   State->Cold.setEntries(View.Entries);
-  State->Quarantined = View.Quarantined;
+  State->setQuarantined(View.Quarantined);
   applyTargets(*State, View);
 }
 
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -96,6 +96,11 @@
   /// The control instances or this one have found that the request crashes
   /// targets.
   [[nodiscard]] bool isQuarantined(std::uint64_t Fingerprint) const;
+  /// A target gave the request a whole answer.
+  void noteOutlived(std::uint64_t Fingerprint);
+  /// Takes the published quarantine over, and objects where this instance has
+  /// seen the request answered.
+  void setQuarantined(const std::set<std::string> &Published);
   /// Takes from any answer of a target what it says of itself: that it leaves,
   /// or wants nothing for a while.
   void noteAnswer(const std::string &ChannelKey, unsigned Status,
--- a/modules/gateway/tests/crashreports_tests.cpp
+++ b/modules/gateway/tests/crashreports_tests.cpp
@@ -26,7 +26,7 @@
   Reports.add(Crash, Now);
   const auto Due = Reports.takeDue(Instances, Now);
   CHECK(Due.size() == 1);
-  CHECK(Due.front().Crash == Crash);
+  CHECK(std::get<fleetlink::crash_notice>(Due.front().Message).Crash == Crash);
   CHECK(Reports.takeDue(Instances, Now + milliseconds(100)).empty());
   Reports.confirm(Due.front().Id);
   CHECK(Reports.takeDue(Instances, Now + milliseconds(500)).empty());
@@ -58,6 +58,14 @@
   CHECK(Reports.size() == 0);
 }
 
+TEST(CrashReports, anAnswerIsToldWithItsAgeAtEachTry) {
+  Reports.addAnswer("f", Now - milliseconds(700), Now);
+  Now += milliseconds(500);
+  const auto Due = Reports.takeDue(Instances, Now);
+  CHECK(std::get<fleetlink::answered_notice>(Due.front().Message).Answer ==
+        controlstate::answered_command({.Fingerprint = "f", .AgeMs = 1'200}));
+}
+
 // Each message and each confirmation is lost with the same probability.
 TEST(CrashReports, reachAnInstanceOverLinksThatLoseHalfOfTheMessages) {
   testing::checkProperty("lossy links", [] {
--- a/modules/routing/include/fulmar/routing/crashdetector.h
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -19,6 +19,7 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,9 @@
   void incarnationSeen(const base::target_id &Target,
                        const std::string &Incarnation, base::instant Now);
 
+  /// When the request was answered last, as far as that is remembered.
+  [[nodiscard]] std::optional<base::instant>
+  lastAnswer(std::uint64_t Fingerprint) const;
   /// Some request is under suspicion of having ended \p Target.
   [[nodiscard]] bool suspects(const base::target_id &Target) const;
   /// Ends suspicions that were not confirmed in time.
--- a/modules/routing/include/fulmar/routing/crashwatch.h
+++ b/modules/routing/include/fulmar/routing/crashwatch.h
@@ -35,6 +35,10 @@
   std::vector<std::uint64_t> incarnationSeen(const base::target_id &Target,
                                              const std::string &Incarnation,
                                              base::instant Now);
+  [[nodiscard]] std::optional<base::instant>
+  lastAnswer(std::uint64_t Fingerprint) const {
+    return Detector.lastAnswer(Fingerprint);
+  }
   [[nodiscard]] bool suspects(const base::target_id &Target) const {
     return Detector.suspects(Target);
   }
--- a/modules/routing/internal/crashdetector.cpp
+++ b/modules/routing/internal/crashdetector.cpp
@@ -98,10 +98,17 @@
   return std::exchange(Unconfirmed, {});
 }
 
+std::optional<base::instant>
+crash_detector::lastAnswer(std::uint64_t Fingerprint) const {
+  const auto Found = AnsweredAt.find(Fingerprint);
+  return Found == AnsweredAt.end() ? std::nullopt
+                                   : std::optional(Found->second);
+}
+
 bool crash_detector::answeredLately(std::uint64_t Fingerprint,
                                     base::instant Now) const {
-  const auto Found = AnsweredAt.find(Fingerprint);
-  return Found != AnsweredAt.end() && Now - Found->second < AnsweredRetention;
+  const auto Last = lastAnswer(Fingerprint);
+  return Last && Now - *Last < AnsweredRetention;
 }
 
 void crash_detector::forgetOld(base::instant Now) {
--- a/tests/wholefleet/crashingrequests_tests.cpp
+++ b/tests/wholefleet/crashingrequests_tests.cpp
@@ -83,3 +83,26 @@
   play(Fleet, "POST", "/write/poison", milliseconds(7'500));
   checkBounds(Fleet, "/write/poison");
 }
+
+// Load: many callers send the same filing, and half of the targets lose power
+// while they run it; the others answer it.
+TEST(CrashingRequests, oneThatOtherTargetsAnsweredIsServedAgain) {
+  constexpr int Crashing = 4;
+  constexpr const char *Popular = "/write/popular";
+  const base::duration Work = milliseconds(600);
+  small_fleet Fleet({.Targets = 2 * Crashing,
+                     .DownTime = std::chrono::seconds(30),
+                     .Work = Work});
+  for (int Entry = 0; Entry < Fleet.entries(); ++Entry)
+    Fleet.send(Entry, "POST", Popular);
+  Fleet.run(Work / 3);
+  for (int Target = 0; Target < Crashing; ++Target)
+    Fleet.crashTarget(Target);
+  Fleet.run(milliseconds(2'500));
+  CHECK_TRUE(Fleet.answers("502", Popular) >= 2);
+  CHECK_TRUE(Fleet.answers("200", Popular) >= 2);
+  for (int Entry = 0; Entry < Fleet.entries(); ++Entry)
+    Fleet.send(Entry, "POST", Popular);
+  Fleet.run(2 * Work);
+  UNSIGNED_LONGS_EQUAL(0, Fleet.quarantinedPaths().size());
+}
--- a/tests/wholefleet/smallfleet.cpp
+++ b/tests/wholefleet/smallfleet.cpp
@@ -36,7 +36,7 @@
   };
   return {.Version = 1,
           .Routes = {Route("read", fleet::repeatability::Idempotent),
-                     Route("write", fleet::repeatability{})},
+                     Route("write", fleet::repeatability::OnceOnly)},
           .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
 }
 
@@ -51,6 +51,11 @@
                .OnCrash =
                    [this](const controlstate::crash_command &Crash) {
                      Feed.reportCrash(Crash);
+                   },
+               .OnQuarantinedAnswer =
+                   [this](const std::string &Fingerprint,
+                          base::instant AnsweredAt) {
+                     Feed.reportAnswer(Fingerprint, AnsweredAt);
                    }},
               Metrics),
       Feed(Owner.Cluster.loop(),
