Ask a silent target once in a while, however many requests break elsewhere

Cause: each break asked all targets under suspicion again, those that had just been asked too. With some targets silent behind a cut and others that reset connections, an entry would have opened a connection to each silent one for every break. The detector now says which targets are due, one question in 250 ms each. With no request in quarantine the check before a send costs nothing. Evidence: CrashDetector.aSilentTargetIsAskedOnceInAWhileHoweverManyRequestsBreak, 100 breaks in a second, 4 questions (the rule that it tests is new with this commit).

--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -226,6 +226,8 @@
 
 void gateway_state::noteOutlived(std::uint64_t Fingerprint) {
   Crashes.answered(Fingerprint, Loop.now());
+  if (Quarantined.empty())
+    return;
   const std::string Text = routing::fingerprintText(Fingerprint);
   if (Quarantined.contains(Text) && Options.OnQuarantinedAnswer)
     Options.OnQuarantinedAnswer(Text, Loop.now());
@@ -250,7 +252,8 @@
 
 bool gateway_state::isQuarantined(std::uint64_t Fingerprint) const {
   return Crashes.quarantined(Fingerprint, Loop.now()) ||
-         Quarantined.contains(routing::fingerprintText(Fingerprint));
+         (!Quarantined.empty() &&
+          Quarantined.contains(routing::fingerprintText(Fingerprint)));
 }
 
 std::shared_ptr<exchange> waiter_queue::takeFirst() {
--- a/modules/gateway/internal/suspectchecker.cpp
+++ b/modules/gateway/internal/suspectchecker.cpp
@@ -6,14 +6,6 @@
 
 namespace fulmar::gateway {
 
-namespace {
-
-/// Between two questions to a target that has not answered: as long as a look
-/// may take. So few of them need no budget.
-constexpr base::duration AskInterval = std::chrono::milliseconds(250);
-
-} // namespace
-
 suspect_checker::suspect_checker(gateway_state &Owner)
     : State(Owner), Timer(Owner.Loop) {}
 
@@ -26,14 +18,19 @@
 }
 
 void suspect_checker::ask() {
-  State.Crashes.expire(State.Loop.now());
+  const base::instant Now = State.Loop.now();
+  State.Crashes.expire(Now);
   std::erase_if(Asked, [this](const auto &Entry) {
     return !State.Crashes.suspects(base::target_id(Entry.first));
   });
-  for (const auto &[Id, Suspect] : Asked)
-    std::make_shared<look>(State, Suspect.Service, Suspect.Target)->startAnew();
+  for (const base::target_id &Due : State.Crashes.takeDueQuestions(Now)) {
+    const auto Found = Asked.find(Due.str());
+    if (Found != Asked.end())
+      std::make_shared<look>(State, Found->second.Service, Found->second.Target)
+          ->startAnew();
+  }
   if (!Asked.empty())
-    Timer.after(AskInterval, [this] { ask(); });
+    Timer.after(routing::QuestionInterval, [this] { ask(); });
 }
 
 } // namespace fulmar::gateway
--- a/modules/routing/include/fulmar/routing/crashdetector.h
+++ b/modules/routing/include/fulmar/routing/crashdetector.h
@@ -16,6 +16,7 @@
 #include "fulmar/base/identifier.h"
 #include "fulmar/base/time.h"
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <deque>
@@ -36,6 +37,11 @@
   friend auto operator<=>(const crash_report &, const crash_report &) = default;
 };
 
+/// Between two questions to a target under suspicion that has not answered: as
+/// long as an answer may take.
+inline constexpr base::duration QuestionInterval =
+    std::chrono::milliseconds(250);
+
 /// What became of a broken attempt.
 enum class suspicion : std::uint8_t {
   Suspected,
@@ -65,6 +71,8 @@
   lastAnswer(std::uint64_t Fingerprint) const;
   /// Some request is under suspicion of having ended \p Target.
   [[nodiscard]] bool suspects(const base::target_id &Target) const;
+  /// Targets under suspicion that are to be asked now whether they run.
+  std::vector<base::target_id> takeDueQuestions(base::instant Now);
   /// Ends suspicions that were not confirmed in time.
   void forgetOld(base::instant Now);
 
@@ -78,6 +86,8 @@
   struct suspect {
     crash_report Report;
     base::instant Since{};
+    /// When its target was asked last.
+    std::optional<base::instant> AskedAt;
   };
 
   [[nodiscard]] bool answeredLately(std::uint64_t Fingerprint,
--- a/modules/routing/include/fulmar/routing/crashwatch.h
+++ b/modules/routing/include/fulmar/routing/crashwatch.h
@@ -39,6 +39,9 @@
   lastAnswer(std::uint64_t Fingerprint) const {
     return Detector.lastAnswer(Fingerprint);
   }
+  std::vector<base::target_id> takeDueQuestions(base::instant Now) {
+    return Detector.takeDueQuestions(Now);
+  }
   [[nodiscard]] bool suspects(const base::target_id &Target) const {
     return Detector.suspects(Target);
   }
--- a/modules/routing/internal/crashdetector.cpp
+++ b/modules/routing/internal/crashdetector.cpp
@@ -3,6 +3,7 @@
 #include "fulmar/routing/crashdetector.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fulmar::routing {
@@ -90,6 +91,23 @@
                      });
 }
 
+std::vector<base::target_id>
+crash_detector::takeDueQuestions(base::instant Now) {
+  std::set<base::target_id> Waiting;
+  for (const suspect &Suspect : Suspects) {
+    if (Suspect.AskedAt && Now - *Suspect.AskedAt < QuestionInterval)
+      Waiting.insert(Suspect.Report.Target);
+  }
+  std::set<base::target_id> Due;
+  for (suspect &Suspect : Suspects) {
+    if (Waiting.contains(Suspect.Report.Target))
+      continue;
+    Suspect.AskedAt = Now;
+    Due.insert(Suspect.Report.Target);
+  }
+  return {Due.begin(), Due.end()};
+}
+
 std::vector<crash_report> crash_detector::takeReports() {
   return std::exchange(Confirmed, {});
 }
--- a/modules/routing/tests/quarantine_tests.cpp
+++ b/modules/routing/tests/quarantine_tests.cpp
@@ -227,6 +227,19 @@
   CHECK(Detector.takeReports().empty());
 }
 
+// Load: targets behind a cut say nothing, and many requests break there.
+TEST(CrashDetector, aSilentTargetIsAskedOnceInAWhileHoweverManyRequestsBreak) {
+  std::size_t Questions = 0;
+  for (int Number = 0; Number < 100; ++Number) {
+    Detector.broken(Suspect, Now);
+    Questions += Detector.takeDueQuestions(Now).size();
+    Now += milliseconds(10);
+  }
+  CHECK(Questions == 4);
+  Detector.answeredCheck(Target, Now);
+  CHECK(Detector.takeDueQuestions(Now + seconds(1)).empty());
+}
+
 TEST(CrashDetector, anAnswerToAnEarlierCheckProvesNothing) {
   Detector.broken(Suspect, Now);
   Detector.answeredCheck(Target, Now - milliseconds(1));
