--- a/cmake/fulmar.cmake
+++ b/cmake/fulmar.cmake
@@ -9,7 +9,7 @@
                            # Option structs rely on their members' defaults.
                            -Wno-missing-field-initializers
                            # GCC 12 reports std::string concatenation falsely.
-                           -Wno-restrict)
+                           $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 if(FULMAR_WERROR)
   target_compile_options(fulmar_options INTERFACE -Werror)
 endif()
