Settings: start with fractions for bounds, and without bounds that are not in force

Callers saw: nothing.

On such a deployment each entry ends with code 2 at every start.

A key without a value gets its default; bounds are numbers; a retry window with a fraction is rounded up, so that it never counts fewer retries than it has to. Not shown: that a deployment of the users has such bounds.

--- a/modules/placement/internal/windowedretrybudget.cpp
+++ b/modules/placement/internal/windowedretrybudget.cpp
@@ -1,5 +1,7 @@
 #include "fulmar/placement/windowedretrybudget.h"
 
+#include <algorithm>
+
 namespace fulmar::placement {
 
 namespace {
@@ -20,9 +22,9 @@
 windowed_retry_budget::bucket &
 windowed_retry_budget::current(base::instant Now) {
   const std::int64_t Number = secondOf(Now);
-  const std::int64_t First =
-      Number -
-      std::chrono::duration_cast<std::chrono::seconds>(Options.Window).count();
+  const std::int64_t WindowSeconds = std::max<std::int64_t>(
+      1, std::chrono::ceil<std::chrono::seconds>(Options.Window).count());
+  const std::int64_t First = Number - WindowSeconds;
   while (!Buckets.empty() && Buckets.front().Number <= First) {
     Requests -= Buckets.front().Requests;
     Retries -= Buckets.front().Retries;
--- a/modules/placement/tests/limits_tests.cpp
+++ b/modules/placement/tests/limits_tests.cpp
@@ -139,6 +139,14 @@
 
 TEST_GROUP(ProbeBudget){};
 
+TEST(WindowedRetryBudget, aWindowWithAFractionIsNotShortened) {
+  windowed_retry_budget Budget(
+      {.Ratio = 0, .Slack = 2, .Window = milliseconds(2'500)});
+  CHECK_TRUE(Budget.take(at(100'000)));
+  CHECK_FALSE(Budget.available(at(102'400)));
+  CHECK_TRUE(Budget.available(at(104'000)));
+}
+
 TEST(ProbeBudget, aSurgeUsesSavedTokens) {
   probe_budget Budget(60);
   Budget.setFleetSize(30, 20);
--- a/modules/settings/include/fulmar/settings/schema.h
+++ b/modules/settings/include/fulmar/settings/schema.h
@@ -21,6 +21,8 @@
   AddressList,
   /// Whole number within [Minimum, Maximum].
   Integer,
+  /// Decimal number within [Minimum, Maximum].
+  Number,
   /// Whole number of milliseconds within [Minimum, Maximum].
   Milliseconds,
   /// A folder's path.
@@ -35,7 +37,8 @@
   std::string Section;
   std::string Key;
   value_type Type = value_type::Text;
-  /// Used when the key is absent; ignored when Required is set.
+  /// Used when the key is absent or has no value; ignored when Required is
+  /// set.
   std::string Default;
   bool Required = false;
   std::int64_t Minimum = 0;
--- a/modules/settings/include/fulmar/settings/settings.h
+++ b/modules/settings/include/fulmar/settings/settings.h
@@ -29,6 +29,8 @@
                                  const std::string &Key) const;
   [[nodiscard]] std::int64_t integer(const std::string &Section,
                                      const std::string &Key) const;
+  [[nodiscard]] double number(const std::string &Section,
+                              const std::string &Key) const;
   [[nodiscard]] std::chrono::milliseconds
   milliseconds(const std::string &Section, const std::string &Key) const;
   [[nodiscard]] std::vector<std::string> list(const std::string &Section,
--- a/modules/settings/internal/settings.cpp
+++ b/modules/settings/internal/settings.cpp
@@ -78,6 +78,15 @@
   }
 }
 
+/// A key without a value counts as absent if the schema has a default for it.
+void dropEmptyValues(const schema &Schema, value_map &Values) {
+  std::erase_if(Values, [&Schema](const auto &Entry) {
+    const key_spec *Spec = findSpec(Schema, Entry.first);
+    return Entry.second.empty() && Spec != nullptr && !Spec->Required &&
+           !Spec->Default.empty();
+  });
+}
+
 void fillAbsent(const std::string &File, const schema &Schema,
                 value_map &Values, std::vector<std::string> &Faults) {
   for (const key_spec &Spec : Schema) {
@@ -105,6 +114,7 @@
                                       const schema &Schema) {
   BOOST_OUTCOME_TRY(Read, readIni(File));
   std::vector<std::string> Faults;
+  dropEmptyValues(Schema, Read);
   checkPresent(File, Schema, Read, Faults);
   fillAbsent(File, Schema, Read, Faults);
   if (!Faults.empty())
@@ -127,6 +137,13 @@
   return Number;
 }
 
+double settings::number(const std::string &Section,
+                        const std::string &Key) const {
+  double Number = 0;
+  Poco::NumberParser::tryParseFloat(text(Section, Key), Number);
+  return Number;
+}
+
 std::chrono::milliseconds settings::milliseconds(const std::string &Section,
                                                  const std::string &Key) const {
   return std::chrono::milliseconds(integer(Section, Key));
--- a/modules/settings/internal/valuecheck.cpp
+++ b/modules/settings/internal/valuecheck.cpp
@@ -57,6 +57,13 @@
          Number >= Spec.Minimum && Number <= Spec.Maximum;
 }
 
+bool isNumberInRange(const key_spec &Spec, const std::string &Value) {
+  double Number = 0;
+  return Poco::NumberParser::tryParseFloat(Value, Number) &&
+         Number >= static_cast<double>(Spec.Minimum) &&
+         Number <= static_cast<double>(Spec.Maximum);
+}
+
 std::string range(const key_spec &Spec) {
   std::string Text = std::to_string(Spec.Minimum) + " or more";
   if (Spec.Maximum != std::numeric_limits<std::int64_t>::max())
@@ -95,6 +102,10 @@
     if (!isInRange(Spec, Value))
       return "a whole number, " + range(Spec);
     return std::nullopt;
+  case value_type::Number:
+    if (!isNumberInRange(Spec, Value))
+      return "a number, " + range(Spec);
+    return std::nullopt;
   case value_type::Milliseconds:
     if (!isInRange(Spec, Value))
       return "milliseconds as a whole number, " + range(Spec);
--- a/modules/settings/tests/settings_tests.cpp
+++ b/modules/settings/tests/settings_tests.cpp
@@ -69,6 +69,15 @@
     CHECK_TEXT(Message.find(Part) != std::string::npos, Message.c_str());
 }
 
+TEST(Settings, aKeyWithoutValueGetsItsDefault) {
+  const auto Loaded =
+      loadText("[instance]\nid = entry-1\nlisten =\n[limits]\nqueue =\n");
+  CHECK(Loaded.has_value());
+  STRCMP_EQUAL("127.0.0.1:7001",
+               Loaded.value().text("instance", "listen").c_str());
+  LONGS_EQUAL(10, Loaded.value().integer("limits", "queue"));
+}
+
 TEST(Settings, aMissingFileIsAnError) {
   const auto Loaded = settings::load("/nonexistent.ini", exampleSchema());
   CHECK(!Loaded.has_value());
