Gateway: log the rate limits that targets announce

Nothing in an entry's output told that a target had named a limit, nor in which kind of response. Each change of a target's limit is now logged with the kind of response, and a value that cannot be read is logged and ignored. The limit belongs to the run of the target that named it. A response to a probe lifts it only if such responses have named it before: whether probes name it is not known.

No request is placed differently.

--- a/modules/gateway/include/fulmar/gateway/headernames.h
+++ b/modules/gateway/include/fulmar/gateway/headernames.h
@@ -25,6 +25,9 @@
   std::string NotRun;
   /// Response: the target is about to leave and wants no new requests.
   std::string Leaving;
+  /// Response: requests per second, as a decimal number, that the target takes
+  /// from all entries together, until a response no longer says so.
+  std::string RateLimit;
   /// Response to a probe: id of the target.
   std::string TargetId;
   /// Response to a probe: milliseconds until the target is warm.
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -192,26 +192,29 @@
       Random(std::random_device()()),
       Buffers(std::make_shared<buffer_budget>(Options.MaxBufferedBytes)),
       Pool(Loop, Options.HeaderNames, Metrics, Buffers,
-           [this](const std::string &Key, unsigned Status,
-                  const http::fields &Fields) {
-             applyBackpressure(Key, Status, Fields);
+           [this](const observed_response &Response) {
+             applyBackpressure(Response);
            }),
       ColdLimiter(Options.InstanceId),
       ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this),
       SweepTimer(Loop), EvaluateTimer(Loop), StopTimer(Loop),
       AcceptRetryTimer(Loop) {}
 
-void gateway_state::applyBackpressure(const std::string &ConnectionKey,
-                                      unsigned Status,
-                                      const http::fields &Fields) {
+void gateway_state::applyBackpressure(const observed_response &Response) {
   const placement::target_backpressure Backpressure =
-      parseBackpressure(Fields, Status, Options.HeaderNames.Leaving);
-  if (Backpressure == placement::target_backpressure{})
+      parseBackpressure(Response.Fields, Response.Status, Options.HeaderNames);
+  const bool NothingToApply =
+      Backpressure == placement::target_backpressure{} &&
+      std::none_of(Services.begin(), Services.end(), [](const auto &Entry) {
+        return Entry.second->Placement.anyAnnouncedLimit();
+      });
+  if (NothingToApply)
     return;
   for (const auto &[Name, Service] : Services) {
-    const fleet::target_report *Target =
-        Service->Placement.find(connection_pool::targetIdOf(ConnectionKey));
-    if (Target == nullptr || connection_pool::keyOf(*Target) != ConnectionKey)
+    const fleet::target_report *Target = Service->Placement.find(
+        connection_pool::targetIdOf(Response.ConnectionKey));
+    if (Target == nullptr ||
+        connection_pool::keyOf(*Target) != Response.ConnectionKey)
       continue;
     if (Service->Placement.recordBackpressure(Target->Id, Backpressure,
                                               Loop.now()))
@@ -220,6 +223,18 @@
           {{"target", Target->Id},
            {"leaving", Backpressure.Leaving ? "yes" : "no"},
            {"pause_ms", std::to_string(toMilliseconds(Backpressure.Pause))}});
+    if (!Backpressure.RateLimitMalformed &&
+        Service->Placement.recordAnnouncedLimit(
+            Target->Id, Backpressure.RateLimit, Response.Kind))
+      telemetry::logChange(
+          telemetry::log_level::Info, "gateway", "target-limit-changed",
+          {{"target", Target->Id},
+           {"requests_per_s", Backpressure.RateLimit
+                                  ? std::to_string(*Backpressure.RateLimit)
+                                  : "unlimited"},
+           {"named_in", Response.Kind == placement::response_kind::Probe
+                            ? "probe"
+                            : "request"}});
     return;
   }
 }
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -103,9 +103,8 @@
   /// this instance has seen answered.
   void setQuarantined(const std::set<std::string> &Published);
   /// Applies what a target says about further requests in any of its responses:
-  /// that it is leaving, or that it wants none for a while.
-  void applyBackpressure(const std::string &ConnectionKey, unsigned Status,
-                         const http::fields &Fields);
+  /// that it is leaving, that it wants none for a while, or how many it takes.
+  void applyBackpressure(const observed_response &Response);
 
   eventloop::loop &Loop;
   gateway_options Options;
--- a/modules/gateway/internal/httptypes.cpp
+++ b/modules/gateway/internal/httptypes.cpp
@@ -66,22 +66,29 @@
   return Number;
 }
 
-std::optional<base::duration> parseSeconds(std::string_view Text) {
-  /// Longer times are treated like this one.
-  constexpr double MaxSeconds = 86'400;
+std::optional<double> parseDecimal(std::string_view Text) {
   const std::string_view Number = trimmed(Text);
   // from_chars() also accepts a minus sign and words such as "inf" and "nan".
   if (Number.empty() ||
       std::isdigit(static_cast<unsigned char>(Number.front())) == 0)
     return std::nullopt;
-  double Seconds = 0;
+  double Value = 0;
   const char *Last = Number.data() + Number.size();
   const auto Read =
-      std::from_chars(Number.data(), Last, Seconds, std::chars_format::fixed);
+      std::from_chars(Number.data(), Last, Value, std::chars_format::fixed);
   if (Read.ec != std::errc() || Read.ptr != Last)
     return std::nullopt;
+  return Value;
+}
+
+std::optional<base::duration> parseSeconds(std::string_view Text) {
+  /// Longer times are treated like this one.
+  constexpr double MaxSeconds = 86'400;
+  const auto Seconds = parseDecimal(Text);
+  if (!Seconds)
+    return std::nullopt;
   return std::chrono::duration_cast<base::duration>(
-      std::chrono::duration<double>(std::min(Seconds, MaxSeconds)));
+      std::chrono::duration<double>(std::min(*Seconds, MaxSeconds)));
 }
 
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
--- a/modules/gateway/internal/httptypes.h
+++ b/modules/gateway/internal/httptypes.h
@@ -36,6 +36,10 @@
 /// Parses an unsigned integer; empty if \p Text is anything else.
 std::optional<std::uint64_t> parseWhole(std::string_view Text);
 
+/// Parses a non-negative decimal number without an exponent; empty if \p Text
+/// is anything else.
+std::optional<double> parseDecimal(std::string_view Text);
+
 /// Parses non-negative seconds, with or without a fraction, as in Retry-After;
 /// empty if \p Text is anything else.
 std::optional<base::duration> parseSeconds(std::string_view Text);
--- a/modules/gateway/internal/targetbackpressure.cpp
+++ b/modules/gateway/internal/targetbackpressure.cpp
@@ -11,28 +11,39 @@
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusUnavailable = 503;
 
+void logMalformed(std::string Event, std::string_view Value) {
+  constexpr std::size_t MaxLoggedCharacters = 40;
+  telemetry::logChange(
+      telemetry::log_level::Warning, "gateway", std::move(Event),
+      {{"value", std::string(Value.substr(0, MaxLoggedCharacters))}});
+}
+
 base::duration parseRetryAfter(const http::fields &Fields) {
   const auto Text = headerOf(Fields, "Retry-After");
   if (Text.empty())
     return {};
   if (const auto Pause = parseSeconds(Text))
     return *Pause;
-  constexpr std::size_t MaxLoggedCharacters = 40;
-  telemetry::logChange(
-      telemetry::log_level::Warning, "gateway", "retry-after-malformed",
-      {{"value", std::string(Text.substr(0, MaxLoggedCharacters))}});
+  logMalformed("retry-after-malformed", Text);
   return {};
 }
 
 } // namespace
 
-placement::target_backpressure
-parseBackpressure(const http::fields &Fields, unsigned Status,
-                  std::string_view LeavingHeader) {
-  const auto Leaving = headerOf(Fields, LeavingHeader);
+placement::target_backpressure parseBackpressure(const http::fields &Fields,
+                                                 unsigned Status,
+                                                 const header_names &Names) {
+  const auto Leaving = headerOf(Fields, Names.Leaving);
+  const auto RateLimit = headerOf(Fields, Names.RateLimit);
+  const auto Rate = parseDecimal(RateLimit);
+  const bool Malformed = !RateLimit.empty() && !Rate;
+  if (Malformed)
+    logMalformed("rate-limit-malformed", RateLimit);
   const bool TurnsAway = Status == StatusUnavailable || Status == StatusTooMany;
   return {.Leaving = !Leaving.empty() && Leaving != "0",
-          .Pause = TurnsAway ? parseRetryAfter(Fields) : base::duration()};
+          .Pause = TurnsAway ? parseRetryAfter(Fields) : base::duration(),
+          .RateLimit = Rate,
+          .RateLimitMalformed = Malformed};
 }
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/targetbackpressure.h
+++ b/modules/gateway/internal/targetbackpressure.h
@@ -3,18 +3,16 @@
 #ifndef FULMAR_GATEWAY_INTERNAL_TARGETBACKPRESSURE_H
 #define FULMAR_GATEWAY_INTERNAL_TARGETBACKPRESSURE_H
 
+#include "fulmar/gateway/headernames.h"
 #include "fulmar/placement/targetbackpressure.h"
 #include "internal/httptypes.h"
 
-#include <string_view>
-
 namespace fulmar::gateway {
 
-/// \p LeavingHeader: name of the header by which a target says that it is
-/// leaving. A malformed Retry-After is logged and ignored.
-placement::target_backpressure
-parseBackpressure(const http::fields &Fields, unsigned Status,
-                  std::string_view LeavingHeader);
+/// A malformed Retry-After or rate limit is logged and ignored.
+placement::target_backpressure parseBackpressure(const http::fields &Fields,
+                                                 unsigned Status,
+                                                 const header_names &Names);
 
 } // namespace fulmar::gateway
 
--- a/modules/gateway/internal/targetconnection.cpp
+++ b/modules/gateway/internal/targetconnection.cpp
@@ -203,7 +203,7 @@
   const auto &Message = Parser->get();
   if (isInterim())
     return skipResponse();
-  Observer(Key, Message.result_int(), Message);
+  notifyObserver();
   if (isForOtherRequest())
     return skipResponse();
   if (!Unparsed.empty() || !Parser->keep_alive())
@@ -217,8 +217,15 @@
   finish(takeResponse());
 }
 
+void target_connection::notifyObserver() const {
+  Observer({.ConnectionKey = Key,
+            .Kind = Call.Kind,
+            .Status = Parser->get().result_int(),
+            .Fields = Parser->get()});
+}
+
 void target_connection::startStreaming() {
-  Observer(Key, Parser->get().result_int(), Parser->get());
+  notifyObserver();
   Unusable = true;
   if (isInterim() || isForOtherRequest() || isUnverified())
     return finish(
--- a/modules/gateway/internal/targetconnection.h
+++ b/modules/gateway/internal/targetconnection.h
@@ -16,6 +16,7 @@
 
 #include "fulmar/base/result.h"
 #include "fulmar/gateway/headernames.h"
+#include "fulmar/placement/announcedlimit.h"
 #include "internal/bufferbudget.h"
 #include "internal/httptypes.h"
 #include "internal/incrementalbody.h"
@@ -38,6 +39,7 @@
   /// Id that the response must carry; empty for a probe, whose response carries
   /// none.
   std::string RequestId;
+  placement::response_kind Kind = placement::response_kind::Request;
   /// HEAD: the response has no body.
   bool HeadOnly = false;
   /// The call fails after this time; 0 if its owner enforces a deadline.
@@ -59,6 +61,15 @@
   bool Last = false;
 };
 
+/// The head of a response, as seen by a response_observer. References are valid
+/// during the call only.
+struct observed_response {
+  const std::string &ConnectionKey;
+  placement::response_kind Kind = placement::response_kind::Request;
+  unsigned Status = 0;
+  const http::fields &Fields;
+};
+
 class target_connection
     : public std::enable_shared_from_this<target_connection> {
 public:
@@ -66,10 +77,9 @@
   /// OutcomeUnknown or TruncatedAnswer if the target may have run the request.
   using handler = std::function<void(base::result<target_response>)>;
   using piece_handler = std::function<void(base::result<response_piece>)>;
-  /// Sees the status and header fields of each final response of the target,
-  /// including responses to other requests.
-  using response_observer = std::function<void(
-      const std::string &Key, unsigned Status, const http::fields &Fields)>;
+  /// Sees each final response of the target, including responses to other
+  /// requests.
+  using response_observer = std::function<void(const observed_response &)>;
 
   target_connection(eventloop::loop &OwningLoop, std::string TargetKey,
                     tcp::endpoint RemoteEndpoint, const header_names &Names,
@@ -112,6 +122,7 @@
   bool parse();
   void onReadError(error_code Failed);
   void onResponse();
+  void notifyObserver() const;
   /// The body is too large to be buffered: hands over its first part.
   void startStreaming();
   /// Skips an interim response or another request's, and awaits the next one.
--- a/modules/gateway/internal/targetprobe.cpp
+++ b/modules/gateway/internal/targetprobe.cpp
@@ -50,7 +50,7 @@
   std::string Head = "GET " + Service.HealthPath + " HTTP/1.1\r\n";
   appendHeader(Head, "Host", Target.Address);
   Head += "\r\n";
-  return {.Head = std::move(Head)};
+  return {.Head = std::move(Head), .Kind = placement::response_kind::Probe};
 }
 
 target_probe::target_probe(gateway_state &Owner, service_ptr ProbedService,
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -28,6 +28,7 @@
           .Load = "T-Load",
           .NotRun = "T-Not-Run",
           .Leaving = "T-Leaving",
+          .RateLimit = "T-Limit",
           .TargetId = "T-Id",
           .RemainingWarmUp = "T-Cold"};
 }
--- a/modules/gateway/tests/targetfaults_tests.cpp
+++ b/modules/gateway/tests/targetfaults_tests.cpp
@@ -121,7 +121,7 @@
   const auto PauseOf = [](const std::string &Value, unsigned Status = 503) {
     http::fields Fields;
     Fields.set("Retry-After", Value);
-    return parseBackpressure(Fields, Status, "T-Leaving").Pause;
+    return parseBackpressure(Fields, Status, testHeaderNames()).Pause;
   };
   CHECK_TRUE(PauseOf("2") == std::chrono::seconds(2));
   CHECK_TRUE(PauseOf(" 0.25 ") == milliseconds(250));
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -14,6 +14,7 @@
 #include "fulmar/base/identifier.h"
 #include "fulmar/base/random.h"
 #include "fulmar/fleet/targetreport.h"
+#include "fulmar/placement/announcedlimit.h"
 #include "fulmar/placement/coldlimiter.h"
 #include "fulmar/placement/loadreport.h"
 #include "fulmar/placement/targetbackpressure.h"
@@ -95,6 +96,12 @@
   bool recordBackpressure(const std::string &Target,
                           const target_backpressure &Backpressure,
                           base::instant Now);
+  /// Records the rate limit that a response of \p Target named, or none.
+  /// Returns true if the limit has changed.
+  bool recordAnnouncedLimit(const std::string &Target,
+                            std::optional<double> Rate, response_kind Kind);
+  /// True if some target has a rate limit.
+  [[nodiscard]] bool anyAnnouncedLimit() const { return AnyAnnouncedLimit; }
   /// Returns the earliest time, not before \p Now, at which some target accepts
   /// requests; empty if there are no targets or all of them are leaving.
   [[nodiscard]] std::optional<base::instant>
@@ -154,6 +161,7 @@
     /// End of the pause that the target asked for.
     base::instant ClosedUntil{};
     bool Leaving = false;
+    announced_limit Limit;
   };
   /// Identifies one run of a target by its id and start time.
   using target_run = std::pair<std::string, std::int64_t>;
@@ -165,6 +173,7 @@
   [[nodiscard]] bool mayBeWarm(const target &State) const {
     return State.ColdByReport && reportsLoad();
   }
+  void updateAnyAnnouncedLimit();
   /// Orders targets of equal availability: the preferred ones first, in random
   /// order.
   void arrangeByPreference(std::vector<const target *> &Group);
@@ -180,6 +189,8 @@
   /// Runs that announced their shutdown, with the time of the announcement.
   /// Such a run stays unusable even if a later target list contains it again.
   std::map<target_run, base::instant> LeavingRuns;
+  /// Some target in Targets has a rate limit.
+  bool AnyAnnouncedLimit = false;
   routing::outlier_detector Health;
   routing::service_times Times;
   /// Consecutive probes that were answered without a load.
--- a/modules/placement/include/fulmar/placement/targetbackpressure.h
+++ b/modules/placement/include/fulmar/placement/targetbackpressure.h
@@ -2,7 +2,7 @@
 //
 // A target that is shutting down announces it in its responses, which reach the
 // entry before the target's next report does. An overloaded target states for
-// how long it should receive no requests.
+// how long it should receive no requests, or how many it takes per second.
 
 #ifndef FULMAR_PLACEMENT_TARGETBACKPRESSURE_H
 #define FULMAR_PLACEMENT_TARGETBACKPRESSURE_H
@@ -10,6 +10,7 @@
 #include "fulmar/base/time.h"
 
 #include <compare>
+#include <optional>
 
 namespace fulmar::placement {
 
@@ -18,6 +19,10 @@
   bool Leaving = false;
   /// How long this entry must not send requests to the target.
   base::duration Pause{};
+  /// Requests per second that the target takes from all entries together.
+  std::optional<double> RateLimit;
+  /// The response names a rate limit that cannot be read.
+  bool RateLimitMalformed = false;
 
   friend auto operator<=>(const target_backpressure &,
                           const target_backpressure &) = default;
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -86,6 +86,7 @@
     Ids.push_back(idOf(Report.Id));
   }
   Targets = std::move(Updated);
+  updateAnyAnnouncedLimit();
   Health.setTargets(Ids, Now);
 }
 
@@ -239,6 +240,23 @@
   return Changed;
 }
 
+bool service_placement::recordAnnouncedLimit(const std::string &Target,
+                                             std::optional<double> Rate,
+                                             response_kind Kind) {
+  const auto Found = Targets.find(Target);
+  if (Found == Targets.end() || !Found->second.Limit.observe(Rate, Kind))
+    return false;
+  updateAnyAnnouncedLimit();
+  return true;
+}
+
+void service_placement::updateAnyAnnouncedLimit() {
+  AnyAnnouncedLimit =
+      std::any_of(Targets.begin(), Targets.end(), [](const auto &Entry) {
+        return Entry.second.Limit.rate().has_value();
+      });
+}
+
 std::optional<base::instant>
 service_placement::availableFrom(base::instant Now) const {
   std::optional<base::instant> Earliest;
