Test, failing: a target gets more requests than the limit that it announced

At one entry: 17 of 21 requests go to the limited target though another is idle; a service whose only target is at its limit gets the next request instead of rejecting it; retries go out as well.

--- /dev/null
+++ b/modules/gateway/tests/targetlimits_tests.cpp
@@ -0,0 +1,64 @@
+// Targets that name a rate limit in their responses: where further requests go,
+// and what callers get when all targets of a service are at their limits.
+
+#include "fulmar/testing/property.h"
+#include "internal/targetbackpressure.h"
+#include "tests/gatewayfixture.h"
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+TEST_GROUP_BASE(TargetLimits, gateway_fixture) {
+  /// Header lines of all further responses of the targets.
+  std::string Limit = "T-Limit: 0.5\r\n";
+
+  void addLimitedTarget() {
+    addTarget([this](const received_request &Request) {
+      std::string Bytes = scripted_target::ok(Request, "ran");
+      Bytes.insert(Bytes.find("T-Signature"), Limit);
+      return target_action{.Bytes = Bytes};
+    });
+  }
+  void addUnlimitedTarget() {
+    addTarget([](const received_request &Request) {
+      return target_action{.Bytes = scripted_target::ok(Request, "ran")};
+    });
+  }
+  std::size_t requestsAt(std::size_t Index) {
+    return Targets[Index]->requests().size();
+  }
+};
+
+TEST(TargetLimits, otherTargetsGetWhatALimitedOneDoesNotTake) {
+  addLimitedTarget();
+  STRCMP_CONTAINS("ran", fetch(request("GET", "/read/x")).c_str());
+  addUnlimitedTarget();
+  constexpr std::size_t Count = 20;
+  for (std::size_t Number = 0; Number < Count; ++Number)
+    STRCMP_CONTAINS("ran", fetch(request("GET", "/read/x")).c_str());
+  // Half a request per second, in about one second.
+  CHECK_COMPARE(requestsAt(0), <=, 2U);
+  CHECK_COMPARE(requestsAt(1), >=, Count - 1);
+}
+
+TEST(TargetLimits, aServiceAtItsLimitRejectsAtOnceAndSaysWhenToReturn) {
+  addLimitedTarget();
+  STRCMP_CONTAINS("ran", fetch(request("GET", "/read/x")).c_str());
+  // The first request after the naming is within the limit.
+  fetch(request("GET", "/read/x"));
+  const base::instant SentAt = Loop.now();
+  const std::string Rejected = fetch(request("POST", "/write/x", "b"));
+  STRCMP_CONTAINS("HTTP/1.1 503", Rejected.c_str());
+  STRCMP_CONTAINS("Retry-After: ", Rejected.c_str());
+  CHECK_TRUE(Loop.now() - SentAt < milliseconds(200));
+  CHECK_EQUAL(2U, requestCount());
+}
+
+TEST(TargetLimits, aRetryCountsAgainstTheLimit) {
+  Limit = "T-Limit: 0.5\r\nT-Not-Run: 1\r\n";
+  addLimitedTarget();
+  for (int Number = 0; Number < 5; ++Number)
+    fetch(request("GET", "/read/x"));
+  CHECK_COMPARE(requestCount(), <=, 2U);
+}
--- a/tests/wholefleet/smallfleet.cpp
+++ b/tests/wholefleet/smallfleet.cpp
@@ -120,14 +120,32 @@
 
 gateway::target_action
 small_fleet::work(int Number, const gateway::received_request &Seen) {
-  if (Seen.Target.find(PoisonMark) == std::string::npos)
-    return {.Bytes = gateway::scripted_target::ok(Seen, "done"),
-            .ResponseDelay = Options.Work};
+  target_place &Place = Places[static_cast<std::size_t>(Number)];
+  Place.Arrivals.push_back(now());
+  if (Seen.Target.find(PoisonMark) == std::string::npos) {
+    std::string Bytes = gateway::scripted_target::ok(Seen, "done");
+    if (!Place.RateLimit.empty())
+      Bytes.insert(Bytes.find("T-Signature"),
+                   "T-Limit: " + Place.RateLimit + "\r\n");
+    return {.Bytes = std::move(Bytes), .ResponseDelay = Options.Work};
+  }
   PoisonArrivals.push_back(now());
   Cluster.loop().post([this, Number] { crashTarget(Number); });
   return {};
 }
 
+void small_fleet::announceLimit(int Target, const std::string &Rate) {
+  Places[static_cast<std::size_t>(Target)].RateLimit = Rate;
+}
+
+const std::vector<base::instant> &small_fleet::arrivals(int Target) const {
+  return Places[static_cast<std::size_t>(Target)].Arrivals;
+}
+
+void small_fleet::endEntry(int Number) {
+  Entries[static_cast<std::size_t>(Number)].reset();
+}
+
 void small_fleet::crashTarget(int Number) {
   target_place &Place = Places[static_cast<std::size_t>(Number)];
   if (!std::exchange(Place.Up, false))
--- a/tests/wholefleet/smallfleet.h
+++ b/tests/wholefleet/smallfleet.h
@@ -34,6 +34,13 @@
   void send(int Entry, const std::string &Method, const std::string &Path);
   /// Lets \p Time pass.
   void run(base::duration Time);
+  /// The target names a limit of \p Rate requests per second in all further
+  /// responses; none if it is empty.
+  void announceLimit(int Target, const std::string &Rate);
+  /// When requests arrived at the target, in order.
+  [[nodiscard]] const std::vector<base::instant> &arrivals(int Target) const;
+  /// Ends one entry at once.
+  void endEntry(int Number);
   /// Ends one target for reasons of its own.
   void crashTarget(int Number);
 
@@ -63,6 +70,8 @@
     std::unique_ptr<gateway::scripted_target> Target;
     bool Up = false;
     int Runs = 0;
+    std::string RateLimit;
+    std::vector<base::instant> Arrivals;
   };
   struct call {
     std::string Path;
