--- a/modules/gateway/internal/targetbackpressure.cpp
+++ b/modules/gateway/internal/targetbackpressure.cpp
@@ -11,10 +11,10 @@
 constexpr unsigned StatusTooMany = 429;
 constexpr unsigned StatusUnavailable = 503;
 
-void logMalformed(std::string Event, std::string_view Value) {
+void logMalformed(const std::string &Event, std::string_view Value) {
   constexpr std::size_t MaxLoggedCharacters = 40;
   telemetry::logChange(
-      telemetry::log_level::Warning, "gateway", std::move(Event),
+      telemetry::log_level::Warning, "gateway", Event,
       {{"value", std::string(Value.substr(0, MaxLoggedCharacters))}});
 }
 
