Gateway: only a signed response of its own call lifts a target's limit

Cause: any response without the header ended the limit at that entry, so that spoilt bytes or a late copy of a response from before the limit freed the way for a burst.

Evidence: TargetLimits.anUnsignedResponseDoesNotLiftTheLimit and aLateDuplicateOfAnEarlierResponseDoesNotLiftTheLimit failed before (the next request was sent instead of rejected) and pass now. A limit is still taken from any response: sparing a target costs little.

--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -135,6 +135,15 @@
   }
 }
 
+/// True if the target's program made the response, and made it for this call:
+/// only then does a missing header tell something.
+bool isIntact(const observed_response &Response, const header_names &Names) {
+  const bool IsProbe = Response.Kind == placement::response_kind::Probe;
+  return Response.AnswersCall &&
+         !headerOf(Response.Fields, IsProbe ? Names.TargetId : Names.Signature)
+              .empty();
+}
+
 void applyPlan(gateway_state &State,
                const std::shared_ptr<const fleet::routing_plan> &Plan) {
   if (!Plan || Plan == State.Routes.plan())
@@ -230,7 +239,10 @@
           {{"target", Target->Id},
            {"leaving", Backpressure.Leaving ? "yes" : "no"},
            {"pause_ms", std::to_string(toMilliseconds(Backpressure.Pause))}});
-    if (!Backpressure.RateLimitMalformed &&
+    const bool TellsLimit =
+        Backpressure.RateLimit || (!Backpressure.RateLimitMalformed &&
+                                   isIntact(Response, Options.HeaderNames));
+    if (TellsLimit &&
         Service->Placement.recordAnnouncedLimit(
             Target->Id, Backpressure.RateLimit, Response.Kind, Loop.now()))
       telemetry::logChange(
--- a/modules/gateway/internal/targetconnection.cpp
+++ b/modules/gateway/internal/targetconnection.cpp
@@ -220,6 +220,7 @@
 void target_connection::notifyObserver() const {
   Observer({.ConnectionKey = Key,
             .Kind = Call.Kind,
+            .AnswersCall = !isForOtherRequest(),
             .Status = Parser->get().result_int(),
             .Fields = Parser->get()});
 }
--- a/modules/gateway/internal/targetconnection.h
+++ b/modules/gateway/internal/targetconnection.h
@@ -66,6 +66,8 @@
 struct observed_response {
   const std::string &ConnectionKey;
   placement::response_kind Kind = placement::response_kind::Request;
+  /// False for a response to another request, such as a late duplicate.
+  bool AnswersCall = true;
   unsigned Status = 0;
   const http::fields &Fields;
 };
--- a/modules/gateway/tests/targetlimits_tests.cpp
+++ b/modules/gateway/tests/targetlimits_tests.cpp
@@ -25,6 +25,25 @@
       return target_action{.Bytes = scripted_target::ok(Request, "ran")};
     });
   }
+  /// Checks that \p Bytes, which a target sends after it has named its limit in
+  /// another response, leave the limit in force.
+  void checkLimitHoldsAfter(const std::string &Bytes) {
+    addTarget([this, Bytes](const received_request &Request) {
+      if (Request.Target == "/write/spoilt")
+        return target_action{
+            .Bytes = Bytes, .Close = true, .ResponseDelay = milliseconds(150)};
+      std::string Whole = scripted_target::ok(Request, "ran");
+      Whole.insert(Whole.find("T-Signature"), Limit);
+      return target_action{.Bytes = Whole};
+    });
+    test_caller Spoilt(Loop);
+    Spoilt.send(request("POST", "/write/spoilt", "b"));
+    CHECK_TRUE(runUntil([this] { return requestCount() == 1; }));
+    STRCMP_CONTAINS("ran", fetch(request("GET", "/read/x")).c_str());
+    CHECK_TRUE(runUntil([&Spoilt] { return !Spoilt.Received.empty(); }));
+    STRCMP_CONTAINS("HTTP/1.1 503", fetch(request("GET", "/read/x")).c_str());
+    CHECK_EQUAL(2U, requestCount());
+  }
   std::size_t requestsAt(std::size_t Index) {
     return Targets[Index]->requests().size();
   }
@@ -61,6 +80,16 @@
   CHECK_COMPARE(requestCount(), <=, 2U);
 }
 
+TEST(TargetLimits, anUnsignedResponseDoesNotLiftTheLimit) {
+  checkLimitHoldsAfter("HTTP/1.1 200 OK\r\nT-Request: id1\r\n"
+                       "Content-Length: 1\r\n\r\nx");
+}
+
+TEST(TargetLimits, aLateDuplicateOfAnEarlierResponseDoesNotLiftTheLimit) {
+  checkLimitHoldsAfter("HTTP/1.1 200 OK\r\nT-Request: earlier\r\n"
+                       "T-Signature: s\r\nContent-Length: 1\r\n\r\nx");
+}
+
 TEST(TargetLimits, aMalformedLimitChangesNothing) {
   addLimitedTarget();
   fetch(request("GET", "/read/x"));
