--- a/tests/wholefleet/limitedtargets_tests.cpp
+++ b/tests/wholefleet/limitedtargets_tests.cpp
@@ -45,13 +45,12 @@
 TEST_GROUP(LimitedTargets) {
   int Sent = 0;
 
-  /// Sends a request every Step, each at the next entry but for \p Without.
-  void play(small_fleet & Fleet, base::duration Time, int Without = -1) {
+  /// Sends a request every Step, each at the next entry.
+  void play(small_fleet & Fleet, base::duration Time) {
     const base::instant Until = Fleet.now() + Time;
     while (Fleet.now() < Until) {
       const int Entry = ++Sent % Fleet.entries();
-      if (Entry != Without)
-        Fleet.send(Entry, "GET", "/read/n" + std::to_string(Sent));
+      Fleet.send(Entry, "GET", "/read/n" + std::to_string(Sent));
       Fleet.run(Step);
     }
   }
--- a/tests/wholefleet/smallfleet.cpp
+++ b/tests/wholefleet/smallfleet.cpp
@@ -142,10 +142,6 @@
   return Places[static_cast<std::size_t>(Target)].Arrivals;
 }
 
-void small_fleet::endEntry(int Number) {
-  Entries[static_cast<std::size_t>(Number)].reset();
-}
-
 void small_fleet::crashTarget(int Number) {
   target_place &Place = Places[static_cast<std::size_t>(Number)];
   if (!std::exchange(Place.Up, false))
--- a/tests/wholefleet/smallfleet.h
+++ b/tests/wholefleet/smallfleet.h
@@ -39,8 +39,6 @@
   void announceLimit(int Target, const std::string &Rate);
   /// When requests arrived at the target, in order.
   [[nodiscard]] const std::vector<base::instant> &arrivals(int Target) const;
-  /// Ends one entry at once.
-  void endEntry(int Number);
   /// Ends one target for reasons of its own.
   void crashTarget(int Number);
 
