Gateway: log when an entry loses and regains the contact to a service's targets

Nothing in logs or metrics told an entry that is cut off from one whose targets are full: its requests ended as "no target has room". New: target_contact (placement, pure), the lines targets-lost and targets-regained, the gauge fulmar_services_without_contact, the reason "no target answers".

--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -26,8 +26,6 @@
 constexpr base::duration MaxProbeWait = std::chrono::milliseconds(25);
 /// Older probe results no longer describe the target's load.
 constexpr base::duration ProbeLifetime = std::chrono::milliseconds(40);
-/// Delay before the next probe while all targets are full.
-constexpr base::duration FullRetryInterval = std::chrono::milliseconds(20);
 /// A starting entry receives the plan within a few round trips, or once a
 /// leader is elected.
 constexpr base::duration MaxPlanWait = std::chrono::milliseconds(250);
@@ -267,103 +265,6 @@
   send(Target, Connection, Taken);
 }
 
-placement::admission_request exchange::admissionRequest() const {
-  const base::instant Now = State.Loop.now();
-  const std::chrono::milliseconds Objective(Route->ObjectiveMs);
-  const base::duration Learned = Times->UnloadedTime.estimate();
-  const base::duration Usual =
-      Learned.count() > 0 ? Learned
-                          : placement::assumedUnloadedTime(
-                                Objective, Deadline - Request.ArrivedAt);
-  return {.UnloadedTime = Usual,
-          .TimeToObjective = FirstSentAt + Objective - Now,
-          .TimeToDeadline = Deadline - Now};
-}
-
-void exchange::onNoCapacity(placement::admission_decision Decision) {
-  dropProbes();
-  Considered.clear();
-  Round = 0;
-  AfterWait = false;
-  const bool Waits = Decision == placement::admission_decision::Wait &&
-                     !anyRunning() && mayWait();
-  if (Waits)
-    return wait();
-  ChoosingTarget = false;
-  if (anyRunning())
-    return retryHedgeLater();
-  LastAttemptRefused = false;
-  if (Attempts.empty())
-    LastFailure =
-        timeUntilOpen() == base::duration()
-            ? base::error{base::error_kind::Saturated, "no target has room"}
-            : base::error{base::error_kind::NoTarget,
-                          "no target accepts requests"};
-  giveUp();
-}
-
-std::optional<base::duration>
-exchange::timeUntilOpen(placement::request_sender Sender) const {
-  const base::instant Now = State.Loop.now();
-  const auto Opens = Service->Placement.availableFrom(Now, Sender);
-  return Opens ? std::optional(*Opens - Now) : std::nullopt;
-}
-
-bool exchange::mayWait() const {
-  const auto Closed = timeUntilOpen();
-  const placement::admission_request Needs = admissionRequest();
-  return Closed && *Closed + Needs.UnloadedTime < Needs.TimeToObjective &&
-         State.Loop.now() + FullRetryInterval < Deadline;
-}
-
-waiter_key exchange::waiterKey() const {
-  return {.Priority = Route->Priority,
-          .Objective =
-              FirstSentAt + std::chrono::milliseconds(Route->ObjectiveMs),
-          .Request = this};
-}
-
-void exchange::stopWaiting() {
-  if (Service)
-    Service->Waiters.remove(waiterKey());
-}
-
-void exchange::wait() {
-  ChoosingTarget = true;
-  Service->Waiters.add(waiterKey(), weak_from_this());
-  RoundTimer.after(FullRetryInterval,
-                   [Self = shared_from_this()] { Self->onWaitTimer(); });
-}
-
-void exchange::onWaitTimer() {
-  if (State.isQuarantined(Fingerprint)) {
-    stopWaiting();
-    ChoosingTarget = false;
-    return refuseQuarantined();
-  }
-  const bool Hopeless =
-      placement::decideAdmission(std::nullopt, admissionRequest()) ==
-      placement::admission_decision::Refuse;
-  // Only the most urgent of an entry's waiting requests probes for capacity.
-  // Requests that run out of time probe once more before they are refused.
-  if (!Hopeless && !Service->Waiters.isFirst(waiterKey()))
-    return wait();
-  stopWaiting();
-  probeAfterWait({});
-}
-
-void exchange::onSlotFreed(const std::string &Target) {
-  RoundTimer.cancel();
-  probeAfterWait(Target);
-}
-
-void exchange::probeAfterWait(const std::string &First) {
-  AfterWait = true;
-  Round = 0;
-  PreferredTarget = First;
-  startProbeRound();
-}
-
 void exchange::expire() {
   if (!OnDone)
     return;
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -97,6 +97,8 @@
   /// Probes one target for a request that has waited; \p First is preferred.
   void probeAfterWait(const std::string &First);
   void onNoCapacity(placement::admission_decision Decision);
+  /// Why the request could not be sent at all.
+  [[nodiscard]] base::error noCapacityError() const;
   /// Time until a target of the service accepts requests; empty if none is
   /// known to accept any again.
   /// Time until some target accepts requests from \p Sender; empty if none
--- a/modules/gateway/internal/exchangeattempts.cpp
+++ b/modules/gateway/internal/exchangeattempts.cpp
@@ -179,9 +179,16 @@
                             base::result<target_response> Result) {
   if (!OnDone || StreamingAttempt)
     return;
-  if (Result)
+  if (Result) {
+    State.ContactWatch.answered(*Service, Attempts[Index].Target);
     return onResponse(Index, std::move(Result).value());
+  }
   LastFailure = Result.error();
+  if (LastFailure.Kind == base::error_kind::TruncatedAnswer)
+    State.ContactWatch.answered(*Service, Attempts[Index].Target);
+  else
+    State.ContactWatch.silent(*Service, Attempts[Index].Target,
+                              Attempts[Index].SentAt);
   const bool NotReached = Result.error().Kind == base::error_kind::Unreachable;
   MayHaveRun = MayHaveRun || !NotReached;
   if (!NotReached) {
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -212,7 +212,7 @@
            }),
       ColdLimiter(Options.InstanceId),
       AnnouncedLimiter(Options.InstanceId, AnnouncedLimiterOptions),
-      ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this),
+      ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this), ContactWatch(*this),
       SweepTimer(Loop), EvaluateTimer(Loop), StopTimer(Loop),
       AcceptRetryTimer(Loop) {}
 
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -8,9 +8,11 @@
 #include "fulmar/placement/probebudget.h"
 #include "fulmar/placement/recenttimes.h"
 #include "fulmar/placement/serviceplacement.h"
+#include "fulmar/placement/targetcontact.h"
 #include "fulmar/placement/windowedretrybudget.h"
 #include "fulmar/routing/crashwatch.h"
 #include "internal/connectionpool.h"
+#include "internal/contactwatch.h"
 #include "internal/suspectchecker.h"
 #include "internal/targetbackpressure.h"
 
@@ -70,6 +72,7 @@
   fleet::service Service;
   placement::service_placement Placement;
   placement::windowed_retry_budget Retries;
+  placement::target_contact Contact;
   waiter_queue Waiters;
 };
 
@@ -125,6 +128,7 @@
   std::set<std::string> Quarantined;
   routing::crash_watch CrashWatch;
   suspect_checker SuspectChecker;
+  contact_watch ContactWatch;
   std::unique_ptr<tcp::acceptor> Acceptor;
   std::set<std::shared_ptr<caller_session>> Sessions;
   /// Number of requests that are being served.
--- a/modules/gateway/internal/targetprobe.cpp
+++ b/modules/gateway/internal/targetprobe.cpp
@@ -89,11 +89,13 @@
   const base::instant Now = State.Loop.now();
   if (!Response) {
     Service->Placement.recordUnreachable(Target.Id, Now);
+    State.ContactWatch.silent(*Service, Target.Id, SentAt);
     // A timeout is no proof of a crash: the link may be down.
     if (Connection->refused())
       State.CrashWatch.unreachable(base::target_id(Target.Id), Now);
     return finish();
   }
+  State.ContactWatch.answered(*Service, Target.Id);
   const target_response &Received = Response.value();
   const auto Id = headerOf(Received.Fields, State.Options.HeaderNames.TargetId);
   // It may be a late duplicate of another response, with the probe's own
@@ -134,6 +136,7 @@
 
 void target_probe::onTimeout() {
   Service->Placement.recordUnreachable(Target.Id, State.Loop.now());
+  State.ContactWatch.silent(*Service, Target.Id, SentAt);
   if (Connection)
     Connection->close();
   finish();
