Gateway: an entry without contact to targets passes requests on through another entry

Cause: an entry has one way only to what others still reach. It waited for room that no target had spoken of, and then rejected. Change: target_contact says whether contact is lost; then the request goes to another entry, over a listener for entries alone, and that one sends it once. relay_selector bounds the tries. One hop only; deadline, attempts and the retry budget stay with the first entry, limits of targets with the second. Why it works: the other entries reach the targets and are reachable, which is all that a cut-off entry lacks.

--- a/modules/controlstate/include/fulmar/controlstate/commands.h
+++ b/modules/controlstate/include/fulmar/controlstate/commands.h
@@ -66,6 +66,7 @@
   std::string Region;
   /// IP:PORT for callers.
   std::string Address;
+  /// IP:PORT for other instances; empty if it accepts nothing from them.
   std::string RpcAddress;
   bool Stopping = false;
 
--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -20,9 +20,14 @@
 struct gateway_options {
   /// IP:PORT for callers.
   std::string ListenAddress;
+  /// IP:PORT for other entries; empty if they can't pass requests on to this
+  /// one.
+  std::string RelayListenAddress;
   header_names HeaderNames;
   std::string InstanceId;
   std::string DataCentre;
+  /// Empty if the instances are not grouped in regions.
+  std::string Region;
   placement::windowed_retry_budget_options RetryBudget;
   /// Probes per second that one target may get from all entries together.
   double ProbesPerTargetPerSecond = 60;
--- a/modules/gateway/include/fulmar/gateway/viewdecoder.h
+++ b/modules/gateway/include/fulmar/gateway/viewdecoder.h
@@ -7,6 +7,7 @@
 
 #include "fulmar/fleet/routingplan.h"
 #include "fulmar/fleet/targetreport.h"
+#include "fulmar/placement/relayselector.h"
 #include "fulmar/publication/publisheditems.h"
 
 #include <map>
@@ -29,6 +30,8 @@
   std::set<std::string> DataCentresOut;
   /// Ids of all entries.
   std::vector<std::string> Entries;
+  /// Entries that accept requests from other entries.
+  std::vector<placement::relay_peer> Relays;
   /// Fingerprints of requests that crash targets.
   std::set<std::string> Quarantined;
 };
@@ -65,6 +68,7 @@
   std::shared_ptr<const fleet::routing_plan> Plan;
   decoded_items<fleet::route> Routes;
   decoded_items<fleet::target_report> Targets;
+  decoded_items<placement::relay_peer> Relays;
   std::size_t Decoded = 0;
 };
 
--- /dev/null
+++ b/modules/gateway/internal/applyview.cpp
@@ -0,0 +1,88 @@
+// Applies a newer view of the fleet to the gateway's state.
+
+#include "fulmar/telemetry/log.h"
+#include "internal/gatewaystate.h"
+
+#include <absl/random/distributions.h>
+
+namespace fulmar::gateway {
+
+namespace {
+
+void applyPlan(gateway_state &State,
+               const std::shared_ptr<const fleet::routing_plan> &Plan) {
+  if (!Plan || Plan == State.Routes.plan())
+    return;
+  State.Routes = fleet::route_table(Plan);
+  std::map<std::string, service_ptr> Services;
+  for (const fleet::service &Service : Plan->Services) {
+    service_ptr Kept = State.serviceOf(Service.Name);
+    if (Kept) {
+      Kept->Service = Service;
+      Kept->Placement.setWarmUpRate(Service.WarmUpRate);
+    } else {
+      Kept = std::make_shared<service_state>(
+          Service,
+          placement::placement_options{.DataCentre = State.Options.DataCentre,
+                                       .WarmUpRate = Service.WarmUpRate,
+                                       .Seed = State.Random()},
+          placement::placement_limiters{.Cold = State.ColdLimiter,
+                                        .Announced = State.AnnouncedLimiter},
+          State.Options.RetryBudget);
+    }
+    Services[Service.Name] = std::move(Kept);
+  }
+  State.Services = std::move(Services);
+  std::map<std::string, traffic_splitter> TrafficSplitters;
+  for (const fleet::route &Route : Plan->Routes) {
+    if (Route.Shares.size() > 1)
+      TrafficSplitters.emplace(
+          Route.Name, traffic_splitter(absl::Uniform(State.Random, 0.0, 1.0)));
+  }
+  State.TrafficSplitters = std::move(TrafficSplitters);
+  telemetry::logChange(telemetry::log_level::Info, "gateway", "plan-in-force",
+                       {{"version", std::to_string(Plan->Version)},
+                        {"routes", std::to_string(Plan->Routes.size())}});
+}
+
+void applyRelays(gateway_state &State,
+                 const std::vector<placement::relay_peer> &Relays) {
+  const auto Order = std::make_shared<const std::vector<placement::relay_peer>>(
+      placement::relayOrder({.Id = State.Options.InstanceId,
+                             .DataCentre = State.Options.DataCentre,
+                             .Region = State.Options.Region},
+                            Relays));
+  for (auto &[Name, Service] : State.Services)
+    Service->Relays.setPeers(Order);
+}
+
+void applyTargets(gateway_state &State, const fleet_view &View) {
+  const base::instant Now = State.Loop.now();
+  std::map<std::string, std::vector<fleet::target_report>> ByService;
+  std::set<std::string> Keys;
+  for (const fleet::target_report &Target : View.Targets) {
+    ByService[Target.Service].push_back(Target);
+    State.CrashWatch.incarnationSeen(base::target_id(Target.Id),
+                                     std::to_string(Target.StartedAtMs), Now);
+    Keys.insert(connection_pool::keyOf(Target));
+  }
+  for (auto &[Name, Service] : State.Services) {
+    Service->Placement.setTargets(ByService[Name], Now);
+    Service->Retries.setEntries(View.Entries.size());
+  }
+  State.Pool.keepOnly(Keys);
+  State.ProbeBudget.setFleetSize(View.Targets.size(), View.Entries.size());
+}
+
+} // namespace
+
+void gateway_state::apply(const fleet_view &View) {
+  applyPlan(*this, View.Plan);
+  ColdLimiter.setEntries(View.Entries);
+  AnnouncedLimiter.setEntries(View.Entries);
+  applyRelays(*this, View.Relays);
+  setQuarantined(View.Quarantined);
+  applyTargets(*this, View);
+}
+
+} // namespace fulmar::gateway
--- a/modules/gateway/internal/callersession.cpp
+++ b/modules/gateway/internal/callersession.cpp
@@ -37,9 +37,10 @@
 
 } // namespace
 
-caller_session::caller_session(gateway_state &Owner, tcp::socket Accepted)
-    : State(Owner), Socket(std::move(Accepted)), BufferedBytes(Owner.Buffers),
-      WaitSince(Owner.Loop.now()) {
+caller_session::caller_session(gateway_state &Owner, tcp::socket Accepted,
+                               session_peer OtherEnd)
+    : State(Owner), Socket(std::move(Accepted)), Peer(OtherEnd),
+      BufferedBytes(Owner.Buffers), WaitSince(Owner.Loop.now()) {
   eventloop::tuneSocket(Socket);
 }
 
@@ -57,7 +58,10 @@
   const fleet::caller_limits Limits = limits();
   Parser.emplace();
   Parser->eager(true);
-  Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
+  const std::size_t OwnHeaders =
+      Peer == session_peer::Entry ? MaxRelayHeaderBytes : 0;
+  Parser->header_limit(
+      static_cast<std::uint32_t>(Limits.MaxHeaderBytes + OwnHeaders));
   Parser->body_limit(Limits.MaxBodyBytes);
   RequestBegun = false;
   HeadDone = false;
@@ -146,6 +150,12 @@
       .Fields = std::move(Message.base()),
       .Body = std::make_shared<const std::string>(std::move(Message.body())),
       .ArrivedAt = HeadDoneAt};
+  if (Peer == session_peer::Entry) {
+    Request.Relay =
+        parseRelayRequest(headerOf(Request.Fields, RelayRequestHeader));
+    if (!Request.Relay)
+      return reject(400, "not-relayed");
+  }
   Exchange = std::make_shared<exchange>(State, std::move(Request));
   // The exchange may finish within start().
   const auto Current = Exchange;
--- a/modules/gateway/internal/callersession.h
+++ b/modules/gateway/internal/callersession.h
@@ -15,9 +15,17 @@
 
 namespace fulmar::gateway {
 
+/// Who is at the other end of a session.
+enum class session_peer : std::uint8_t {
+  Caller,
+  /// Another entry, which passes its callers' requests on.
+  Entry,
+};
+
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-  caller_session(gateway_state &Owner, tcp::socket Accepted);
+  caller_session(gateway_state &Owner, tcp::socket Accepted,
+                 session_peer OtherEnd);
 
   void start();
   /// Closes the connection if a request arrives too slowly, or if it has been
@@ -59,6 +67,7 @@
 
   gateway_state &State;
   tcp::socket Socket;
+  session_peer Peer;
   std::optional<parser> Parser;
   std::array<char, 16'384> ReadBuffer{};
   /// Bytes received after the request that is being served.
--- a/modules/gateway/internal/connectionpool.cpp
+++ b/modules/gateway/internal/connectionpool.cpp
@@ -15,12 +15,12 @@
 
 connection_pool::connection_pool(
     eventloop::loop &OwningLoop, const header_names &Names,
-    telemetry::metrics &Registry, std::shared_ptr<buffer_budget> Budget,
-    target_connection::response_observer ResponseObserver)
-    : Loop(OwningLoop), HeaderNames(Names),
-      OpenedCounter(
-          Registry.counterOf("fulmar_target_connections_opened_total")),
-      Buffers(std::move(Budget)), Observer(std::move(ResponseObserver)) {}
+    telemetry::counter &Opened, std::shared_ptr<buffer_budget> Budget,
+    target_connection::response_observer ResponseObserver,
+    base::duration MaxIdleTime)
+    : Loop(OwningLoop), HeaderNames(Names), OpenedCounter(Opened),
+      Buffers(std::move(Budget)), MaxIdle(MaxIdleTime),
+      Observer(std::move(ResponseObserver)) {}
 
 std::string connection_pool::keyOf(const fleet::target_report &Target) {
   return Target.Id + "/" + std::to_string(Target.StartedAtMs) + "/" +
@@ -33,8 +33,8 @@
   while (!Connections.empty()) {
     connection_ptr Connection = Connections.back();
     Connections.pop_back();
-    const bool Fresh =
-        Loop.now() - Connection->idleSince() < Connection->idleLimit();
+    const bool Fresh = Loop.now() - Connection->idleSince() <
+                       std::min(MaxIdle, Connection->idleLimit());
     if (Connection->reusable() && Fresh)
       return Connection;
     Connection->close();
--- a/modules/gateway/internal/connectionpool.h
+++ b/modules/gateway/internal/connectionpool.h
@@ -20,10 +20,13 @@
 class connection_pool {
 public:
   /// \p ResponseObserver sees each response of a target.
+  /// Connections that have been idle for \p MaxIdleTime are not reused, even
+  /// if the peer allows more. \p Opened counts the new ones.
   connection_pool(eventloop::loop &OwningLoop, const header_names &Names,
-                  telemetry::metrics &Registry,
+                  telemetry::counter &Opened,
                   std::shared_ptr<buffer_budget> Budget,
-                  target_connection::response_observer ResponseObserver);
+                  target_connection::response_observer ResponseObserver,
+                  base::duration MaxIdleTime = base::duration::max());
 
   /// Returns an idle connection to this incarnation of the target, or a new
   /// one; null if the address is malformed.
@@ -51,6 +54,7 @@
   const header_names &HeaderNames;
   telemetry::counter &OpenedCounter;
   std::shared_ptr<buffer_budget> Buffers;
+  base::duration MaxIdle;
   target_connection::response_observer Observer;
   /// Idle connections by key, the most recently used last.
   std::map<std::string, std::vector<connection_ptr>> Idle;
--- a/modules/gateway/internal/contactwatch.h
+++ b/modules/gateway/internal/contactwatch.h
@@ -1,11 +1,13 @@
 // Follows the contact of this entry to the targets of each service: logs when
-// it is lost and regained, and counts the services without contact.
+// it is lost and regained, counts the services without contact, and probes
+// until they answer again.
 
 #ifndef FULMAR_GATEWAY_INTERNAL_CONTACTWATCH_H
 #define FULMAR_GATEWAY_INTERNAL_CONTACTWATCH_H
 
-#include "fulmar/base/time.h"
+#include "fulmar/eventloop/loop.h"
 
+#include <memory>
 #include <string>
 
 namespace fulmar::gateway {
@@ -15,7 +17,7 @@
 
 class contact_watch {
 public:
-  explicit contact_watch(gateway_state &Owner) : State(Owner) {}
+  explicit contact_watch(gateway_state &Owner);
 
   /// A target of the service answered, whatever the answer was.
   void answered(service_state &Service, const std::string &Target);
@@ -25,9 +27,18 @@
               base::instant AskedAt);
 
 private:
+  /// Probes one target of each service without contact.
+  void check();
+  /// A partition concerns all services: asks those that have not answered for
+  /// a while too, before their next request does.
+  void checkOthers(const service_state &Lost);
+  void probe(const std::shared_ptr<service_state> &Service, std::size_t Count);
   void updateGauge() const;
 
   gateway_state &State;
+  eventloop::timer CheckTimer;
+  /// The next check opens a new connection.
+  bool ChecksNewConnection = false;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -26,6 +26,9 @@
 constexpr base::duration MaxProbeWait = std::chrono::milliseconds(25);
 /// Older probe results no longer describe the target's load.
 constexpr base::duration ProbeLifetime = std::chrono::milliseconds(40);
+/// An entry without contact, and without another entry to pass requests on to,
+/// goes on probing for them for this long: several contact checks.
+constexpr base::duration MaxTrustInOwnPath = std::chrono::milliseconds(500);
 /// A starting entry receives the plan within a few round trips, or once a
 /// leader is elected.
 constexpr base::duration MaxPlanWait = std::chrono::milliseconds(250);
@@ -36,12 +39,15 @@
 constexpr base::duration MinTransitTime = std::chrono::milliseconds(8);
 constexpr base::duration MaxTransitTime = std::chrono::milliseconds(40);
 
-/// Returns the time that is left when the request arrives here.
-base::duration timeLeftAtArrival(std::uint64_t CallerTimeMs) {
+base::duration boundedTime(std::uint64_t CallerTimeMs) {
   // Longer than any route's timeout.
   constexpr std::uint64_t MaxCallerTimeMs = 3'600'000;
-  const base::duration CallerTime =
-      std::chrono::milliseconds(std::min(CallerTimeMs, MaxCallerTimeMs));
+  return std::chrono::milliseconds(std::min(CallerTimeMs, MaxCallerTimeMs));
+}
+
+/// Returns the time that is left when the request arrives here.
+base::duration timeLeftAtArrival(std::uint64_t CallerTimeMs) {
+  const base::duration CallerTime = boundedTime(CallerTimeMs);
   return CallerTime - std::clamp(CallerTime / TransitTimeDivisor,
                                  MinTransitTime, MaxTransitTime);
 }
@@ -61,26 +67,46 @@
 }
 
 void exchange::begin() {
+  if (Request.Relay && State.Stopping) {
+    TryElsewhere = true;
+    return fail({base::error_kind::Stopping, "the instance is stopping"});
+  }
   const bool MayWait = State.Loop.now() - StartedAt < MaxPlanWait;
   if (!State.Routes.plan() && MayWait)
     return RoundTimer.after(PlanPollInterval,
                             [Self = shared_from_this()] { Self->begin(); });
   if (!resolveRoute())
     return;
-  Service->Retries.recordRequest(StartedAt);
+  if (!Request.Relay)
+    Service->Retries.recordRequest(StartedAt);
   DeadlineTimer.after(std::max(base::duration(1), Deadline - State.Loop.now()),
                       [Self = shared_from_this()] { Self->onTimeout(); });
-  if (Service->Waiters.anyBefore(waiterKey()))
+  if (!Service->Contact.lost() && Service->Waiters.anyBefore(waiterKey()))
     return wait();
   startProbeRound();
 }
 
+/// True if the request was passed on for a service that the route still has.
+bool exchange::keepsService(const fleet::route &Found) const {
+  return Request.Relay &&
+         std::any_of(Found.Shares.begin(), Found.Shares.end(),
+                     [this](const fleet::route_share &Share) {
+                       return Share.Service == Request.Relay->Service;
+                     });
+}
+
 bool exchange::resolveRoute() {
   Plan = State.Routes.plan();
   if (!Plan) {
+    TryElsewhere = true;
     fail({base::error_kind::StaleKnowledge, "no routing plan yet"});
     return false;
   }
+  if (Request.Relay && Plan->Version < Request.Relay->PlanVersion) {
+    TryElsewhere = true;
+    fail({base::error_kind::StaleKnowledge, "older plan than the sender's"});
+    return false;
+  }
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   Route = State.Routes.find(headerOf(Request.Fields, "Host"), Path);
   if (Route == nullptr) {
@@ -96,7 +122,8 @@
     return false;
   }
   const auto Sequence = State.TrafficSplitters.find(Route->Name);
-  Service = State.serviceOf(Sequence == State.TrafficSplitters.end()
+  Service = State.serviceOf(keepsService(*Route) ? Request.Relay->Service
+                            : Sequence == State.TrafficSplitters.end()
                                 ? Route->Shares.front().Service
                                 : Sequence->second.next(*Route));
   if (!Service) {
@@ -106,21 +133,39 @@
   }
   Idempotent = Route->Idempotency == fleet::idempotency::Idempotent;
   Times = &State.Times[Route->Name];
+  setDeadline();
+  return true;
+}
+
+void exchange::setDeadline() {
   Deadline = Request.ArrivedAt + std::chrono::milliseconds(Route->TimeoutMs);
   FirstSentAt = Request.ArrivedAt;
   const auto CallerTimeMs =
       parseWhole(headerOf(Request.Fields, State.Options.HeaderNames.Deadline));
-  if (CallerTimeMs) {
-    const base::duration Left = timeLeftAtArrival(*CallerTimeMs);
-    Deadline = std::min(Deadline, Request.ArrivedAt + Left);
-    FirstSentAt -= placement::estimatedAge(Left, *Times);
-    Times->CallerTimeout.record(Left);
+  if (!CallerTimeMs)
+    return;
+  if (Request.Relay) {
+    // The first entry has allowed for the way of the caller.
+    Deadline =
+        std::min(Deadline, Request.ArrivedAt + boundedTime(*CallerTimeMs) -
+                               MinTransitTime);
+    FirstSentAt -= Request.Relay->Age;
+    return;
   }
-  return true;
+  const base::duration Left = timeLeftAtArrival(*CallerTimeMs);
+  Deadline = std::min(Deadline, Request.ArrivedAt + Left);
+  FirstSentAt -= placement::estimatedAge(Left, *Times);
+  Times->CallerTimeout.record(Left);
 }
 
 void exchange::startProbeRound() {
   ChoosingTarget = true;
+  if (Service->Contact.lost()) {
+    if (passOn())
+      return;
+    if (State.Loop.now() - Service->Contact.lostAt() > MaxTrustInOwnPath)
+      return onNoCapacity(placement::admission_decision::Refuse);
+  }
   placement::candidate_query Query{.Excluded = Considered,
                                    .Count = AfterWait    ? 1
                                             : Round == 0 ? FirstRoundProbes
@@ -182,6 +227,8 @@
 void exchange::onProbeEnd() {
   if (!ChoosingTarget)
     return;
+  if (Service->Contact.lost() && passOn())
+    return;
   const bool AllDone =
       std::all_of(Probes.begin(), Probes.end(),
                   [](const auto &Probe) { return Probe->done(); });
@@ -195,7 +242,7 @@
 
 bool exchange::mayAwaitProbes(placement::admission_decision Decision) const {
   return !AfterWait && Decision == placement::admission_decision::Wait &&
-         bestProbe() == nullptr &&
+         !Service->Contact.lost() && bestProbe() == nullptr &&
          std::any_of(Probes.begin(), Probes.end(),
                      [](const auto &Probe) { return !Probe->done(); });
 }
@@ -289,6 +336,11 @@
   for (const attempt &Attempt : Attempts) {
     if (!Attempt.Running)
       continue;
+    if (Attempt.Relayed) {
+      if (placement::isHung(Now - Attempt.SentAt, Objective))
+        Service->Relays.recordUseless(Attempt.Target, Now);
+      continue;
+    }
     // A machine that fails silently does not reset its connections.
     suspectCrash(Attempt.Target);
     if (placement::isHung(Now - Attempt.SentAt, Objective))
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -7,6 +7,7 @@
 
 #include "fulmar/placement/admission.h"
 #include "internal/gatewaystate.h"
+#include "internal/relayheaders.h"
 #include "internal/targetprobe.h"
 
 #include <functional>
@@ -27,6 +28,8 @@
   /// When the head was complete. Callers measure their timeout from there, not
   /// from the end of a long body.
   base::instant ArrivedAt{};
+  /// Set if another entry has passed the request on.
+  std::optional<relay_request> Relay;
 };
 
 struct caller_response {
@@ -62,7 +65,11 @@
 
 private:
   struct attempt {
+    /// Id of a target, or of the entry to which the request was passed on.
     std::string Target;
+    bool Relayed = false;
+    /// The entry said, or it is certain, that no target got the request.
+    bool NotSent = false;
     connection_ptr Connection;
     base::instant SentAt{};
     /// Expected time relative to that of an idle target at its usual speed.
@@ -77,6 +84,8 @@
   /// Waits briefly for a plan if there is none, then serves the request.
   void begin();
   bool resolveRoute();
+  [[nodiscard]] bool keepsService(const fleet::route &Found) const;
+  void setDeadline();
   void startProbeRound();
   void probeTargets(const std::vector<std::string> &Ids);
   void sendWithoutProbe(std::vector<std::string> Ids);
@@ -111,7 +120,27 @@
   [[nodiscard]] target_probe *bestProbe() const;
   void send(const std::string &Target, const connection_ptr &Connection,
             const placement::admission_candidate &Offer);
-  [[nodiscard]] std::string requestHead(const std::string &Target) const;
+  /// The request's head with one more header.
+  [[nodiscard]] std::string requestHead(std::string_view Name,
+                                        std::string_view Value) const;
+  /// Number of attempts in which a target may have got the request.
+  [[nodiscard]] std::size_t sentCount() const;
+  /// Maximum number of such attempts.
+  [[nodiscard]] std::size_t maxAttempts() const;
+
+  /// Called without contact to the service's targets: passes the request on to
+  /// another entry, or back if it came from one. Returns false if there is
+  /// nobody to pass it on to; the request then stays as it is.
+  bool passOn();
+  bool relay();
+  void onRelayEnd(std::size_t Index, base::result<target_response> Result);
+  void onRelayResponse(std::size_t Index, const relay_result &Result,
+                       target_response Response);
+  /// The entry of the attempt \p Index could not send the request.
+  void relayElsewhere(std::size_t Index, std::string_view Outcome);
+  void countRelay(std::string_view Outcome) const;
+  /// Adds what the first entry must know of a relayed request's response.
+  void addRelayResult(caller_response &Response) const;
   void refuseQuarantined();
   void armHedge();
   void hedge();
@@ -121,6 +150,7 @@
   void suspectCrash(const std::string &Target);
   void onResponse(std::size_t Index, target_response Response);
   void endAttempt(std::size_t Index, routing::attempt_quality Quality);
+  void endPlacement(const attempt &Attempt, routing::attempt_quality Quality);
   void retry();
   [[nodiscard]] bool mayRetry() const;
   [[nodiscard]] bool anyRunning() const;
@@ -167,6 +197,10 @@
   std::vector<std::shared_ptr<target_probe>> Probes;
   std::set<std::string> Considered;
   std::set<std::string> SentTo;
+  /// Entries to which the request was passed on.
+  std::set<std::string> RelayedTo;
+  /// For a relayed request: another entry may be able to send it.
+  bool TryElsewhere = false;
   std::size_t Round = 0;
   /// The request has waited for capacity. It then probes one target at a time,
   /// so that the waiting requests of many entries don't all go to the same free
--- a/modules/gateway/internal/exchangeattempts.cpp
+++ b/modules/gateway/internal/exchangeattempts.cpp
@@ -48,7 +48,8 @@
 
 } // namespace
 
-std::string exchange::requestHead(const std::string &Target) const {
+std::string exchange::requestHead(std::string_view ExtraName,
+                                  std::string_view ExtraValue) const {
   const header_names &Names = State.Options.HeaderNames;
   std::string Head = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   for (const auto &Field : Request.Fields) {
@@ -56,6 +57,7 @@
                                 Field.name_string().size());
     const bool Own = equalsIgnoringCase(Name, Names.Deadline) ||
                      equalsIgnoringCase(Name, Names.ExpectedTarget) ||
+                     equalsIgnoringCase(Name, RelayRequestHeader) ||
                      equalsIgnoringCase(Name, "Content-Length") ||
                      equalsIgnoringCase(Name, "Expect");
     if (!Own && !isHopByHop(Request.Fields, Name))
@@ -65,7 +67,7 @@
       Deadline - State.Loop.now());
   appendHeader(Head, Names.Deadline,
                std::to_string(std::max<std::int64_t>(1, Left.count())));
-  appendHeader(Head, Names.ExpectedTarget, Target);
+  appendHeader(Head, ExtraName, ExtraValue);
   const bool HasBody = Request.Body && !Request.Body->empty();
   if (HasBody || Request.Method == "POST" || Request.Method == "PUT" ||
       Request.Method == "PATCH")
@@ -80,7 +82,7 @@
     State.Pool.release(Connection);
     return refuseQuarantined();
   }
-  if (!Attempts.empty() && !Service->Retries.take(State.Loop.now())) {
+  if (sentCount() > 0 && !Service->Retries.take(State.Loop.now())) {
     State.Pool.release(Connection);
     if (!anyRunning())
       giveUp();
@@ -96,7 +98,7 @@
                       .LoadAtSend = describe(Offer)});
   const std::size_t Index = Attempts.size() - 1;
   Connection->call(
-      {.Head = requestHead(Target),
+      {.Head = requestHead(State.Options.HeaderNames.ExpectedTarget, Target),
        .Body = Request.Body,
        .RequestId = RequestId,
        .HeadOnly = Request.Method == "HEAD"},
@@ -122,7 +124,7 @@
 
 void exchange::armHedge() {
   HedgeTimer.cancel();
-  if (!Idempotent || Attempts.size() >= Route->Attempts)
+  if (!Idempotent || sentCount() >= maxAttempts())
     return;
   const auto Wait = base::duration(static_cast<base::duration::rep>(
       HedgeDelayShare * static_cast<double>(Route->ObjectiveMs) * 1'000));
@@ -146,29 +148,48 @@
 void exchange::retryHedgeLater() {
   const base::duration Needed =
       std::max<base::duration>(admissionRequest().UnloadedTime, MinTimeToSend);
-  if (!Idempotent || Attempts.size() >= Route->Attempts ||
+  if (!Idempotent || sentCount() >= maxAttempts() ||
       State.Loop.now() + HedgeRetryInterval + Needed >= Deadline)
     return;
   HedgeTimer.after(HedgeRetryInterval,
                    [Self = shared_from_this()] { Self->hedge(); });
 }
 
+std::size_t exchange::sentCount() const {
+  return static_cast<std::size_t>(
+      std::count_if(Attempts.begin(), Attempts.end(),
+                    [](const attempt &Attempt) { return !Attempt.NotSent; }));
+}
+
+/// The first entry counts and repeats the attempts of a request that it passes
+/// on: each time it does, the second one may send once.
+std::size_t exchange::maxAttempts() const {
+  return Request.Relay ? 1 : Route->Attempts;
+}
+
 bool exchange::anyRunning() const {
   return std::any_of(Attempts.begin(), Attempts.end(),
                      [](const attempt &Attempt) { return Attempt.Running; });
 }
 
+void exchange::endPlacement(const attempt &Attempt, attempt_quality Quality) {
+  const base::instant Now = State.Loop.now();
+  if (Attempt.Relayed)
+    return Service->Relays.requestEnded(Attempt.Target);
+  Service->Placement.requestEnded(Attempt.Target, Quality, Now - Attempt.SentAt,
+                                  Now);
+}
+
 void exchange::endAttempt(std::size_t Index, attempt_quality Quality) {
   attempt &Attempt = Attempts[Index];
   Attempt.Running = false;
   Attempt.Outcome =
       std::string(nameOf(Quality)) + "@" +
       std::to_string(toMilliseconds(State.Loop.now() - Request.ArrivedAt));
-  const base::instant Now = State.Loop.now();
-  Service->Placement.requestEnded(Attempt.Target, Quality, Now - Attempt.SentAt,
-                                  Now);
+  endPlacement(Attempt, Quality);
   if (Attempt.Connection)
-    State.Pool.release(std::exchange(Attempt.Connection, {}));
+    (Attempt.Relayed ? State.RelayPool : State.Pool)
+        .release(std::exchange(Attempt.Connection, {}));
   // A slot that this entry releases is offered to its own waiting requests
   // first.
   if (const auto Next = Service->Waiters.popFirst())
@@ -179,6 +200,8 @@
                             base::result<target_response> Result) {
   if (!OnDone || StreamingAttempt)
     return;
+  if (Attempts[Index].Relayed)
+    return onRelayEnd(Index, std::move(Result));
   if (Result) {
     State.ContactWatch.answered(*Service, Attempts[Index].Target);
     return onResponse(Index, std::move(Result).value());
@@ -277,7 +300,7 @@
 }
 
 bool exchange::mayRetry() const {
-  return (Idempotent || !MayHaveRun) && Attempts.size() < Route->Attempts &&
+  return (Idempotent || !MayHaveRun) && sentCount() < maxAttempts() &&
          State.Loop.now() + MinTimeToSend < Deadline &&
          Service->Retries.available(State.Loop.now());
 }
--- a/modules/gateway/internal/exchangeresponses.cpp
+++ b/modules/gateway/internal/exchangeresponses.cpp
@@ -17,7 +17,6 @@
 
 /// Retry-After without a known route: an entry has a plan soon after its start.
 constexpr auto UnroutedRetryAfter = std::chrono::milliseconds(300);
-constexpr unsigned StatusUnavailable = 503;
 
 std::string secondsText(base::duration Time) {
   char Text[32];
@@ -50,7 +49,8 @@
     const std::string_view Value(Field.value().data(), Field.value().size());
     if (equalsIgnoringCase(Name, "Content-Length"))
       Out.ContentLength = Value;
-    else if (!isHopByHop(Response.Fields, Name))
+    else if (!isHopByHop(Response.Fields, Name) &&
+             !equalsIgnoringCase(Name, RelayResponseHeader))
       appendHeader(Out.Headers, Name, Value);
   }
   return Out;
@@ -67,8 +67,10 @@
   HedgeTimer.cancel();
   ChoosingTarget = false;
   stopWaiting();
+  caller_response FirstPart = toCallerResponse(std::move(Response));
+  addRelayResult(FirstPart);
   const handler Done = OnDone;
-  Done(toCallerResponse(std::move(Response)));
+  Done(std::move(FirstPart));
 }
 
 void exchange::readPiece(target_connection::piece_handler Done) {
@@ -151,7 +153,7 @@
   base::error Failure = LastFailure;
   if (!MayHaveRun)
     Failure.Kind =
-        Attempts.empty() ? LastFailure.Kind : base::error_kind::Saturated;
+        sentCount() == 0 ? LastFailure.Kind : base::error_kind::Saturated;
   else if (Failure.Kind != base::error_kind::TargetTimeout)
     Failure.Kind = base::error_kind::OutcomeUnknown;
   fail(Failure);
@@ -172,6 +174,7 @@
 void exchange::finish(caller_response Response) {
   stopWork();
   recordOutcome(Response.Status);
+  addRelayResult(Response);
   const handler Done = std::exchange(OnDone, {});
   if (Done)
     Done(std::move(Response));
@@ -214,9 +217,7 @@
     if (Attempt.Connection)
       Attempt.Connection->close();
     Attempt.Connection.reset();
-    const base::instant Now = State.Loop.now();
-    Service->Placement.requestEnded(Attempt.Target, Quality,
-                                    Now - Attempt.SentAt, Now);
+    endPlacement(Attempt, Quality);
   }
 }
 
@@ -243,6 +244,7 @@
         Fingerprint == 0 ? "" : routing::fingerprintText(Fingerprint)},
        {"status", std::to_string(Status)},
        {"cause", std::string(Reason)},
+       {"from", Request.Relay ? Request.Relay->From : ""},
        {"sends", attemptsText()},
        {"usual_ms",
         std::to_string(Times == nullptr
--- a/modules/gateway/internal/exchangewaiting.cpp
+++ b/modules/gateway/internal/exchangewaiting.cpp
@@ -30,15 +30,17 @@
   Considered.clear();
   Round = 0;
   AfterWait = false;
+  if (Service->Contact.lost() && passOn())
+    return;
   const bool Waits = Decision == placement::admission_decision::Wait &&
-                     !anyRunning() && mayWait();
+                     !Service->Contact.lost() && !anyRunning() && mayWait();
   if (Waits)
     return wait();
   ChoosingTarget = false;
   if (anyRunning())
     return retryHedgeLater();
   LastAttemptRefused = false;
-  if (Attempts.empty())
+  if (sentCount() == 0)
     LastFailure = noCapacityError();
   giveUp();
 }
@@ -95,7 +97,8 @@
       placement::admission_decision::Refuse;
   // Only the most urgent of an entry's waiting requests probes for capacity.
   // Requests that run out of time probe once more before they are refused.
-  if (!Hopeless && !Service->Waiters.isFirst(waiterKey()))
+  if (!Hopeless && !Service->Contact.lost() &&
+      !Service->Waiters.isFirst(waiterKey()))
     return wait();
   stopWaiting();
   probeAfterWait({});
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -31,6 +31,10 @@
 /// A target that does not answer on an idle connection within this time has
 /// lost the connection.
 constexpr base::duration KeepAliveTimeout = std::chrono::seconds(1);
+/// A connection to an entry that failed without a reset hangs, and a request on
+/// it may not be repeated. A new one costs a round trip and proves that the
+/// entry's machine runs.
+constexpr base::duration MaxRelayIdle = std::chrono::milliseconds(500);
 constexpr auto StopPollInterval = std::chrono::milliseconds(50);
 /// Enough senders that some of them have a request when the limit permits one;
 /// few enough for what targets bear beyond their limit in a short time.
@@ -42,41 +46,62 @@
       static_cast<double>(Duration.count()) * Factor));
 }
 
-void startSession(gateway_state &State, tcp::socket Accepted) {
+void startSession(gateway_state &State, tcp::socket Accepted,
+                  session_peer Peer) {
   const auto Session =
-      std::make_shared<caller_session>(State, std::move(Accepted));
+      std::make_shared<caller_session>(State, std::move(Accepted), Peer);
   State.Sessions.insert(Session);
   Session->start();
 }
 
+/// A listening socket, its peers, and the timer of its retries.
+struct listener {
+  tcp::acceptor &Acceptor;
+  session_peer Peer = session_peer::Caller;
+  eventloop::timer &RetryTimer;
+};
+
+std::vector<listener> listenersOf(gateway_state &State) {
+  std::vector<listener> Listeners = {{.Acceptor = *State.Acceptor,
+                                      .Peer = session_peer::Caller,
+                                      .RetryTimer = State.AcceptRetryTimer}};
+  if (State.RelayAcceptor)
+    Listeners.push_back({.Acceptor = *State.RelayAcceptor,
+                         .Peer = session_peer::Entry,
+                         .RetryTimer = State.RelayAcceptRetryTimer});
+  return Listeners;
+}
+
 /// Serves the connections in the kernel's backlog before the acceptor is
 /// closed; closing it would reset them.
-void stopAccepting(gateway_state &State) {
+void stopAccepting(gateway_state &State, const listener &Listener) {
   error_code Failed;
-  State.Acceptor->cancel(Failed);
-  State.Acceptor->non_blocking(true, Failed);
+  Listener.Acceptor.cancel(Failed);
+  Listener.Acceptor.non_blocking(true, Failed);
   while (!Failed) {
     tcp::socket Accepted(State.Loop.context());
-    State.Acceptor->accept(Accepted, Failed);
+    Listener.Acceptor.accept(Accepted, Failed);
     if (!Failed)
-      startSession(State, std::move(Accepted));
+      startSession(State, std::move(Accepted), Listener.Peer);
   }
-  State.Acceptor->close(Failed);
+  Listener.Acceptor.close(Failed);
 }
 
-void accept(gateway_state &State) {
-  State.Acceptor->async_accept([&State](error_code Failed, tcp::socket Socket) {
-    if (Failed == asio::error::operation_aborted)
-      return;
-    if (!Failed)
-      startSession(State, std::move(Socket));
-    if (!State.Acceptor->is_open())
-      return;
-    if (Failed)
-      return State.AcceptRetryTimer.after(eventloop::AcceptPause,
-                                          [&State] { accept(State); });
-    accept(State);
-  });
+void accept(gateway_state &State, const listener &Listener) {
+  Listener.Acceptor.async_accept(
+      [&State, Listener](error_code Failed, tcp::socket Socket) {
+        if (Failed == asio::error::operation_aborted)
+          return;
+        if (!Failed)
+          startSession(State, std::move(Socket), Listener.Peer);
+        if (!Listener.Acceptor.is_open())
+          return;
+        if (Failed)
+          return Listener.RetryTimer.after(
+              eventloop::AcceptPause,
+              [&State, Listener] { accept(State, Listener); });
+        accept(State, Listener);
+      });
 }
 
 /// Sends a health request over an idle connection to keep it open: a new
@@ -100,6 +125,8 @@
 void sweep(gateway_state &State) {
   for (const connection_ptr &Connection : State.Pool.closeStale())
     keepAlive(State, Connection);
+  for (const connection_ptr &Connection : State.RelayPool.closeStale())
+    Connection->close();
   // A copy, because a session that closes removes itself from the set.
   const auto Sessions = State.Sessions;
   for (const auto &Session : Sessions)
@@ -144,60 +171,6 @@
               .empty();
 }
 
-void applyPlan(gateway_state &State,
-               const std::shared_ptr<const fleet::routing_plan> &Plan) {
-  if (!Plan || Plan == State.Routes.plan())
-    return;
-  State.Routes = fleet::route_table(Plan);
-  std::map<std::string, service_ptr> Services;
-  for (const fleet::service &Service : Plan->Services) {
-    service_ptr Kept = State.serviceOf(Service.Name);
-    if (Kept) {
-      Kept->Service = Service;
-      Kept->Placement.setWarmUpRate(Service.WarmUpRate);
-    } else {
-      Kept = std::make_shared<service_state>(
-          Service,
-          placement::placement_options{.DataCentre = State.Options.DataCentre,
-                                       .WarmUpRate = Service.WarmUpRate,
-                                       .Seed = State.Random()},
-          placement::placement_limiters{.Cold = State.ColdLimiter,
-                                        .Announced = State.AnnouncedLimiter},
-          State.Options.RetryBudget);
-    }
-    Services[Service.Name] = std::move(Kept);
-  }
-  State.Services = std::move(Services);
-  std::map<std::string, traffic_splitter> TrafficSplitters;
-  for (const fleet::route &Route : Plan->Routes) {
-    if (Route.Shares.size() > 1)
-      TrafficSplitters.emplace(
-          Route.Name, traffic_splitter(absl::Uniform(State.Random, 0.0, 1.0)));
-  }
-  State.TrafficSplitters = std::move(TrafficSplitters);
-  telemetry::logChange(telemetry::log_level::Info, "gateway", "plan-in-force",
-                       {{"version", std::to_string(Plan->Version)},
-                        {"routes", std::to_string(Plan->Routes.size())}});
-}
-
-void applyTargets(gateway_state &State, const fleet_view &View) {
-  const base::instant Now = State.Loop.now();
-  std::map<std::string, std::vector<fleet::target_report>> ByService;
-  std::set<std::string> Keys;
-  for (const fleet::target_report &Target : View.Targets) {
-    ByService[Target.Service].push_back(Target);
-    State.CrashWatch.incarnationSeen(base::target_id(Target.Id),
-                                     std::to_string(Target.StartedAtMs), Now);
-    Keys.insert(connection_pool::keyOf(Target));
-  }
-  for (auto &[Name, Service] : State.Services) {
-    Service->Placement.setTargets(ByService[Name], Now);
-    Service->Retries.setEntries(View.Entries.size());
-  }
-  State.Pool.keepOnly(Keys);
-  State.ProbeBudget.setFleetSize(View.Targets.size(), View.Entries.size());
-}
-
 } // namespace
 
 gateway_state::gateway_state(eventloop::loop &OwningLoop,
@@ -206,15 +179,20 @@
     : Loop(OwningLoop), Options(std::move(InitialOptions)), Metrics(Registry),
       Random(std::random_device()()),
       Buffers(std::make_shared<buffer_budget>(Options.MaxBufferedBytes)),
-      Pool(Loop, Options.HeaderNames, Metrics, Buffers,
+      Pool(Loop, Options.HeaderNames,
+           Metrics.counterOf("fulmar_target_connections_opened_total"), Buffers,
            [this](const observed_response &Response) {
              applyBackpressure(Response);
            }),
+      RelayPool(
+          Loop, Options.HeaderNames,
+          Metrics.counterOf("fulmar_relay_connections_opened_total"), Buffers,
+          [](const observed_response & /*Response*/) {}, MaxRelayIdle),
       ColdLimiter(Options.InstanceId),
       AnnouncedLimiter(Options.InstanceId, AnnouncedLimiterOptions),
-      ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this), ContactWatch(*this),
-      SweepTimer(Loop), EvaluateTimer(Loop), StopTimer(Loop),
-      AcceptRetryTimer(Loop) {}
+      ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this),
+      ContactWatch(*this), SweepTimer(Loop), EvaluateTimer(Loop),
+      StopTimer(Loop), AcceptRetryTimer(Loop), RelayAcceptRetryTimer(Loop) {}
 
 void gateway_state::applyBackpressure(const observed_response &Response) {
   const placement::target_backpressure Backpressure =
@@ -338,7 +316,15 @@
   BOOST_OUTCOME_TRY(Listening, eventloop::listenOn(
                                    State->Loop, State->Options.ListenAddress));
   State->Acceptor = std::make_unique<tcp::acceptor>(std::move(Listening));
-  accept(*State);
+  if (!State->Options.RelayListenAddress.empty()) {
+    BOOST_OUTCOME_TRY(
+        ForEntries,
+        eventloop::listenOn(State->Loop, State->Options.RelayListenAddress));
+    State->RelayAcceptor =
+        std::make_unique<tcp::acceptor>(std::move(ForEntries));
+  }
+  for (const listener &Listener : listenersOf(*State))
+    accept(*State, Listener);
   State->SweepTimer.every(SweepInterval, [this] { sweep(*State); });
   State->EvaluateTimer.every(EvaluateInterval, [this] {
     for (const auto &[Name, Service] : State->Services)
@@ -349,13 +335,7 @@
   return base::success();
 }
 
-void gateway::apply(const fleet_view &View) {
-  applyPlan(*State, View.Plan);
-  State->ColdLimiter.setEntries(View.Entries);
-  State->AnnouncedLimiter.setEntries(View.Entries);
-  State->setQuarantined(View.Quarantined);
-  applyTargets(*State, View);
-}
+void gateway::apply(const fleet_view &View) { State->apply(View); }
 
 bool gateway::ready() const {
   return !State->Stopping && State->Routes.plan() != nullptr &&
@@ -375,8 +355,10 @@
     const bool Accepting =
         Elapsed <
         std::min(scaled(GracePeriod, AcceptGraceShare), MaxAcceptTime);
-    if (!Accepting && State->Acceptor->is_open())
-      stopAccepting(*State);
+    if (!Accepting && State->Acceptor->is_open()) {
+      for (const listener &Listener : listenersOf(*State))
+        stopAccepting(*State, Listener);
+    }
     const bool Finished =
         !Accepting && State->RunningRequests == 0 && State->Sessions.empty();
     if (!Finished && Elapsed >= scaled(GracePeriod, ExpireGraceShare))
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -7,6 +7,7 @@
 #include "fulmar/gateway/gateway.h"
 #include "fulmar/placement/probebudget.h"
 #include "fulmar/placement/recenttimes.h"
+#include "fulmar/placement/relayselector.h"
 #include "fulmar/placement/serviceplacement.h"
 #include "fulmar/placement/targetcontact.h"
 #include "fulmar/placement/windowedretrybudget.h"
@@ -73,6 +74,7 @@
   placement::service_placement Placement;
   placement::windowed_retry_budget Retries;
   placement::target_contact Contact;
+  placement::relay_selector Relays;
   waiter_queue Waiters;
 };
 
@@ -96,6 +98,8 @@
   gateway_state(eventloop::loop &OwningLoop, gateway_options InitialOptions,
                 telemetry::metrics &Registry);
 
+  /// Replaces the view of the fleet by a newer one.
+  void apply(const fleet_view &View);
   [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
   /// True if the control instances or this one have found that the request
   /// crashes targets.
@@ -116,6 +120,8 @@
   /// Memory of the bodies of requests and responses.
   std::shared_ptr<buffer_budget> Buffers;
   connection_pool Pool;
+  /// Connections to other entries.
+  connection_pool RelayPool;
   placement::fleet_rate_limiter ColdLimiter;
   placement::fleet_rate_limiter AnnouncedLimiter;
   placement::probe_budget ProbeBudget;
@@ -130,6 +136,8 @@
   suspect_checker SuspectChecker;
   contact_watch ContactWatch;
   std::unique_ptr<tcp::acceptor> Acceptor;
+  /// For other entries; null if they can't pass requests on to this one.
+  std::unique_ptr<tcp::acceptor> RelayAcceptor;
   std::set<std::shared_ptr<caller_session>> Sessions;
   /// Number of requests that are being served.
   std::size_t RunningRequests = 0;
@@ -139,6 +147,7 @@
   eventloop::timer EvaluateTimer;
   eventloop::timer StopTimer;
   eventloop::timer AcceptRetryTimer;
+  eventloop::timer RelayAcceptRetryTimer;
 };
 
 } // namespace fulmar::gateway
--- a/modules/gateway/internal/httptypes.h
+++ b/modules/gateway/internal/httptypes.h
@@ -20,6 +20,9 @@
 using eventloop::error_code;
 using eventloop::tcp;
 
+/// Promises that the request has not run.
+inline constexpr unsigned StatusUnavailable = 503;
+
 using shared_body = std::shared_ptr<const std::string>;
 
 /// Returns the value of a header; empty if it is missing.
--- a/modules/gateway/internal/targetbackpressure.cpp
+++ b/modules/gateway/internal/targetbackpressure.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr unsigned StatusTooMany = 429;
-constexpr unsigned StatusUnavailable = 503;
 
 void logMalformed(const std::string &Event, std::string_view Value) {
   constexpr std::size_t MaxLoggedCharacters = 40;
--- a/modules/gateway/internal/viewdecoder.cpp
+++ b/modules/gateway/internal/viewdecoder.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmar/gateway/viewdecoder.h"
 
+#include "fulmar/controlstate/jsonconversion.h"
 #include "fulmar/telemetry/log.h"
 
 #include <json/reader.h>
@@ -21,6 +22,15 @@
   return Value;
 }
 
+base::result<placement::relay_peer> decodeRelay(std::string_view Text) {
+  BOOST_OUTCOME_TRY(Member,
+                    controlstate::memberFromJson(parseJson(std::string(Text))));
+  return placement::relay_peer{.Id = std::move(Member.Id),
+                               .DataCentre = std::move(Member.DataCentre),
+                               .Region = std::move(Member.Region),
+                               .Address = std::move(Member.RpcAddress)};
+}
+
 std::string keySuffix(const publication::item &Item, std::string_view Prefix) {
   return Item.Key.substr(Prefix.size());
 }
@@ -92,6 +102,11 @@
   }
   for (const auto &Item : Items.withPrefix(publication::MemberPrefix))
     View.Entries.push_back(keySuffix(Item, publication::MemberPrefix));
+  updateItems(Relays, Items, publication::MemberPrefix, &decodeRelay);
+  for (const auto &[Key, Relay] : Relays) {
+    if (Relay.Content && !Relay.Content->Address.empty())
+      View.Relays.push_back(*Relay.Content);
+  }
   for (const auto &Item : Items.withPrefix(publication::QuarantinePrefix))
     View.Quarantined.insert(keySuffix(Item, publication::QuarantinePrefix));
   return View;
--- a/modules/gateway/tests/fleetfixture.h
+++ b/modules/gateway/tests/fleetfixture.h
@@ -14,8 +14,10 @@
   test_entry(eventloop::loop &Loop, std::size_t Number)
       : Id("e" + std::to_string(Number)),
         Address("127.0.0.1:" + std::to_string(18'600 + Number)),
+        RelayAddress("127.0.0.1:" + std::to_string(18'620 + Number)),
         Gateway(Loop,
                 {.ListenAddress = Address,
+                 .RelayListenAddress = RelayAddress,
                  .HeaderNames = testHeaderNames(),
                  .InstanceId = Id,
                  .DataCentre = "pos",
@@ -26,6 +28,7 @@
 
   std::string Id;
   std::string Address;
+  std::string RelayAddress;
   telemetry::metrics Metrics;
   std::vector<controlstate::crash_command> Crashes;
   /// One for each target.
@@ -90,6 +93,10 @@
                     .Plan = std::make_shared<fleet::routing_plan>(Plan)};
     for (const auto &Other : Entries)
       View.Entries.push_back(Other->Id);
+    for (const auto &Other : Entries)
+      View.Relays.push_back({.Id = Other->Id,
+                             .DataCentre = "pos",
+                             .Address = Other->RelayAddress});
     for (std::size_t Number = 0; Number < TargetCount; ++Number)
       View.Targets.push_back({.Id = Targets[Number]->id(),
                               .Service = "s",
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -97,6 +97,9 @@
                      base::instant Now);
   /// Records that the target did not answer or refused the connection.
   void recordUnreachable(const std::string &Target, base::instant Now);
+  /// This entry has regained contact to the targets, which it had lost at
+  /// \p LostAt: forgets what their silence since then seemed to say of them.
+  void contactRegained(base::instant LostAt);
   /// Avoids the target for \p Time without affecting its health statistics.
   void backOff(const std::string &Target, base::duration Time,
                base::instant Now);
@@ -171,6 +174,7 @@
     /// Failed requests; halved by each successful one.
     std::uint32_t Failures = 0;
     base::instant FailureBackOffUntil{};
+    base::instant LastFailedAt{};
     /// End of the pause that the target asked for.
     base::instant ClosedUntil{};
     bool Leaving = false;
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -207,6 +207,15 @@
       Now);
 }
 
+void service_placement::contactRegained(base::instant LostAt) {
+  for (auto &[Id, State] : Targets) {
+    State.UnreachableCount = 0;
+    State.BackOffUntil = {};
+    if (State.LastFailedAt >= LostAt)
+      State.FailureBackOffUntil = {};
+  }
+}
+
 void service_placement::backOff(const std::string &Target, base::duration Time,
                                 base::instant Now) {
   const auto Found = Targets.find(Target);
@@ -308,6 +317,7 @@
   const std::uint32_t Doublings =
       std::min(MaxDoublings, Found->second.Failures++);
   Found->second.FailureBackOffUntil = Now + First * (1U << Doublings);
+  Found->second.LastFailedAt = Now;
 }
 
 unreported_requests
