Gateway: a refused connection proves a crash only while other targets accept one

Cause: a refusal counted as proof of a crash, though an entry that is cut off is refused by every target. Change: a refused suspect is only confirmed when another target accepts a new connection at that moment; up to four are asked, since a rack may have crashed. A single target's refusal still counts: nothing contradicts it.

--- a/modules/gateway/internal/exchangeattempts.cpp
+++ b/modules/gateway/internal/exchangeattempts.cpp
@@ -219,8 +219,7 @@
     Service->Placement.requestFailed(Attempts[Index].Target, State.Loop.now());
   }
   if (Attempts[Index].Connection->refused())
-    State.CrashWatch.unreachable(base::target_id(Attempts[Index].Target),
-                                 State.Loop.now());
+    State.SuspectChecker.refused(Service, Attempts[Index].Target);
   endAttempt(Index, attempt_quality::ConnectionFailure);
   if (NotReached)
     Service->Placement.recordUnreachable(Attempts[Index].Target,
--- a/modules/gateway/internal/suspectchecker.h
+++ b/modules/gateway/internal/suspectchecker.h
@@ -11,7 +11,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace fulmar::gateway {
 
@@ -26,6 +28,11 @@
   /// crashed.
   void add(const std::shared_ptr<service_state> &Service,
            const fleet::target_report &Target);
+  /// A target has refused a new connection. If it is suspected, a connection to
+  /// another target decides whether this proves a crash: an entry that is cut
+  /// off is refused by all of them.
+  void refused(const std::shared_ptr<service_state> &Service,
+               const std::string &Target);
 
 private:
   struct suspect {
@@ -34,6 +41,15 @@
   };
 
   void probeDue();
+  /// Confirms that \p Suspect has crashed if a target not in \p Asked accepts a
+  /// new connection.
+  void testConnection(const std::shared_ptr<service_state> &Service,
+                      const std::string &Suspect, std::set<std::string> Asked);
+  /// A target not in \p Asked, of this service if possible, and its service;
+  /// null if there is none.
+  std::pair<std::shared_ptr<service_state>, const fleet::target_report *>
+  otherTarget(const std::shared_ptr<service_state> &Service,
+              const std::set<std::string> &Asked) const;
 
   gateway_state &State;
   /// By target id. Targets that are no longer listed are probed too.
--- a/modules/gateway/internal/targetprobe.cpp
+++ b/modules/gateway/internal/targetprobe.cpp
@@ -92,7 +92,7 @@
     State.ContactWatch.silent(*Service, Target.Id, SentAt);
     // A timeout is no proof of a crash: the link may be down.
     if (Connection->refused())
-      State.CrashWatch.unreachable(base::target_id(Target.Id), Now);
+      State.SuspectChecker.refused(Service, Target.Id);
     return finish();
   }
   State.ContactWatch.answered(*Service, Target.Id);
