--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -23,6 +23,9 @@
   /// IP:PORT for other entries; empty if they can't pass requests on to this
   /// one.
   std::string RelayListenAddress;
+  /// IP address from which connections to targets and other entries are
+  /// opened; empty if the system chooses it.
+  std::string SourceAddress;
   header_names HeaderNames;
   std::string InstanceId;
   std::string DataCentre;
--- a/modules/gateway/internal/connectionpool.cpp
+++ b/modules/gateway/internal/connectionpool.cpp
@@ -14,12 +14,12 @@
 } // namespace
 
 connection_pool::connection_pool(
-    eventloop::loop &OwningLoop, const header_names &Names,
-    telemetry::counter &Opened, std::shared_ptr<buffer_budget> Budget,
-    target_connection::response_observer ResponseObserver,
-    base::duration MaxIdleTime)
-    : Loop(OwningLoop), HeaderNames(Names), OpenedCounter(Opened),
-      Buffers(std::move(Budget)), MaxIdle(MaxIdleTime),
+    eventloop::loop &OwningLoop, connection_pool_options Chosen,
+    const header_names &Names, telemetry::counter &Opened,
+    std::shared_ptr<buffer_budget> Budget,
+    target_connection::response_observer ResponseObserver)
+    : Loop(OwningLoop), Options(std::move(Chosen)), HeaderNames(Names),
+      OpenedCounter(Opened), Buffers(std::move(Budget)),
       Observer(std::move(ResponseObserver)) {}
 
 std::string connection_pool::keyOf(const fleet::target_report &Target) {
@@ -34,7 +34,7 @@
     connection_ptr Connection = Connections.back();
     Connections.pop_back();
     const bool Fresh = Loop.now() - Connection->idleSince() <
-                       std::min(MaxIdle, Connection->idleLimit());
+                       std::min(Options.MaxIdle, Connection->idleLimit());
     if (Connection->reusable() && Fresh)
       return Connection;
     Connection->close();
@@ -48,7 +48,10 @@
     return nullptr;
   OpenedCounter.add();
   return std::make_shared<target_connection>(
-      Loop, keyOf(Target), Endpoint.value(), HeaderNames, Buffers, Observer);
+      Loop, keyOf(Target),
+      target_address{.Remote = Endpoint.value(),
+                     .Source = Options.SourceAddress},
+      HeaderNames, Buffers, Observer);
 }
 
 void connection_pool::release(const connection_ptr &Connection) {
--- a/modules/gateway/internal/connectionpool.h
+++ b/modules/gateway/internal/connectionpool.h
@@ -17,16 +17,24 @@
 
 using connection_ptr = std::shared_ptr<target_connection>;
 
+struct connection_pool_options {
+  /// IP address from which connections are opened; empty if the system chooses.
+  std::string SourceAddress;
+  /// Connections that have been idle for longer are not reused, even if the
+  /// peer allows more.
+  base::duration MaxIdle = base::duration::max();
+
+  friend auto operator<=>(const connection_pool_options &,
+                          const connection_pool_options &) = default;
+};
+
 class connection_pool {
 public:
-  /// \p ResponseObserver sees each response of a target.
-  /// Connections that have been idle for \p MaxIdleTime are not reused, even
-  /// if the peer allows more. \p Opened counts the new ones.
-  connection_pool(eventloop::loop &OwningLoop, const header_names &Names,
-                  telemetry::counter &Opened,
+  /// \p ResponseObserver sees each response; \p Opened counts the connections.
+  connection_pool(eventloop::loop &OwningLoop, connection_pool_options Chosen,
+                  const header_names &Names, telemetry::counter &Opened,
                   std::shared_ptr<buffer_budget> Budget,
-                  target_connection::response_observer ResponseObserver,
-                  base::duration MaxIdleTime = base::duration::max());
+                  target_connection::response_observer ResponseObserver);
 
   /// Returns an idle connection to this incarnation of the target, or a new
   /// one; null if the address is malformed.
@@ -51,10 +59,10 @@
 
 private:
   eventloop::loop &Loop;
+  connection_pool_options Options;
   const header_names &HeaderNames;
   telemetry::counter &OpenedCounter;
   std::shared_ptr<buffer_budget> Buffers;
-  base::duration MaxIdle;
   target_connection::response_observer Observer;
   /// Idle connections by key, the most recently used last.
   std::map<std::string, std::vector<connection_ptr>> Idle;
--- a/modules/gateway/internal/targetconnection.cpp
+++ b/modules/gateway/internal/targetconnection.cpp
@@ -35,14 +35,13 @@
 } // namespace
 
 target_connection::target_connection(
-    eventloop::loop &OwningLoop, std::string TargetKey,
-    tcp::endpoint RemoteEndpoint, const header_names &Names,
-    const std::shared_ptr<buffer_budget> &Budget,
+    eventloop::loop &OwningLoop, std::string TargetKey, target_address Ends,
+    const header_names &Names, const std::shared_ptr<buffer_budget> &Budget,
     const response_observer &ResponseObserver)
-    : Loop(OwningLoop), Key(std::move(TargetKey)),
-      Endpoint(std::move(RemoteEndpoint)), HeaderNames(Names),
-      Observer(ResponseObserver), Socket(Loop.context()), ConnectTimer(Loop),
-      CallTimer(Loop), BufferedBytes(Budget), IdleLimit(DefaultIdleLimit) {}
+    : Loop(OwningLoop), Key(std::move(TargetKey)), Address(std::move(Ends)),
+      HeaderNames(Names), Observer(ResponseObserver), Socket(Loop.context()),
+      ConnectTimer(Loop), CallTimer(Loop), BufferedBytes(Budget),
+      IdleLimit(DefaultIdleLimit) {}
 
 void target_connection::call(target_call NextCall, handler Callback) {
   Call = std::move(NextCall);
@@ -77,8 +76,14 @@
       Self->finish(base::fail(base::error_kind::Unreachable,
                               "connection attempt timed out"));
   });
+  if (const error_code Failed = bindSource())
+    return Loop.post([Self = shared_from_this(), Failed] {
+      if (Self->Done)
+        Self->finish(
+            base::fail(base::error_kind::Unreachable, Failed.message()));
+    });
   Socket.async_connect(
-      Endpoint, [Self = shared_from_this()](error_code Failed) {
+      Address.Remote, [Self = shared_from_this()](error_code Failed) {
         Self->ConnectTimer.cancel();
         if (!Self->Done)
           return;
@@ -93,6 +98,18 @@
       });
 }
 
+error_code target_connection::bindSource() {
+  error_code Failed;
+  if (Address.Source.empty())
+    return Failed;
+  const auto Ip = asio::ip::make_address_v4(Address.Source, Failed);
+  if (!Failed)
+    Socket.open(tcp::v4(), Failed);
+  if (!Failed)
+    Socket.bind({Ip, 0}, Failed);
+  return Failed;
+}
+
 void target_connection::write() {
   Writing = true;
   const auto Head = std::make_shared<std::string>(std::move(Call.Head));
--- a/modules/gateway/internal/targetconnection.h
+++ b/modules/gateway/internal/targetconnection.h
@@ -32,6 +32,13 @@
 /// Maximum size of a response body that is buffered completely.
 inline constexpr std::size_t MaxBufferedResponseBytes = std::size_t(256) << 10U;
 
+/// Both ends of a connection.
+struct target_address {
+  tcp::endpoint Remote;
+  /// IP address of the near end; empty if the system chooses it.
+  std::string Source;
+};
+
 struct target_call {
   /// Start line and headers, including the empty line.
   std::string Head;
@@ -84,7 +91,7 @@
   using response_observer = std::function<void(const observed_response &)>;
 
   target_connection(eventloop::loop &OwningLoop, std::string TargetKey,
-                    tcp::endpoint RemoteEndpoint, const header_names &Names,
+                    target_address Ends, const header_names &Names,
                     const std::shared_ptr<buffer_budget> &Budget,
                     const response_observer &ResponseObserver);
 
@@ -116,6 +123,7 @@
   using parser = http::response_parser<incremental_body>;
 
   void connect();
+  error_code bindSource();
   void write();
   void read();
   [[nodiscard]] bool wantsRead() const;
@@ -142,7 +150,7 @@
 
   eventloop::loop &Loop;
   std::string Key;
-  tcp::endpoint Endpoint;
+  target_address Address;
   const header_names &HeaderNames;
   const response_observer &Observer;
   tcp::socket Socket;
