fulmarctl explain: follow a request over both entries, and tell of lost contact

A relayed request read as sent to a target of the other entry's name, and whether the first entry had contact to its service did not show. Now: "passed on to" and "passed on by", and the latest targets-lost or targets-regained of each service among what the entry knew.

--- a/programs/ctl/internal/explaincommand.cpp
+++ b/programs/ctl/internal/explaincommand.cpp
@@ -49,11 +49,18 @@
       << " ms old when it arrived, usual time " << End.field("usual_ms")
       << " ms, had " << End.field("had_ms") << " ms, took "
       << End.field("took_ms") << " ms\n";
+  if (!End.field("from").empty())
+    Out << "  passed on by " << End.field("from") << "\n";
   if (Sends.empty())
     Out << "  not sent to any target\n";
-  for (const told_send &Send : Sends)
-    Out << "  after " << Send.SentMs << " ms sent to " << Send.Target
-        << " (load " << Send.Load << "): " << Send.Outcome << "\n";
+  for (const told_send &Send : Sends) {
+    Out << "  after " << Send.SentMs << " ms ";
+    if (Send.Load == "relay")
+      Out << "passed on to " << Send.Target;
+    else
+      Out << "sent to " << Send.Target << " (load " << Send.Load << ")";
+    Out << ": " << Send.Outcome << "\n";
+  }
 }
 
 void printLines(std::ostream &Out, const std::string &Title,
--- a/programs/ctl/internal/requeststory.cpp
+++ b/programs/ctl/internal/requeststory.cpp
@@ -25,9 +25,9 @@
 constexpr std::int64_t ResendWindowMs = 30'000;
 
 /// Events that replace what an instance believed before.
-constexpr std::array<std::string_view, 5> BeliefEvents = {
-    "started", "control-connected", "control-lost", "plan-in-force",
-    "role-changed"};
+constexpr std::array<std::string_view, 7> BeliefEvents = {
+    "started",      "control-connected", "control-lost",    "plan-in-force",
+    "role-changed", "targets-lost",      "targets-regained"};
 
 bool closesRequest(const log_line &Line) {
   const std::string &Event = Line.field("event");
@@ -49,7 +49,8 @@
 /// The last line of each belief of \p End's instance up to its end.
 std::vector<log_line> beliefsAt(const log_line &End,
                                 const std::vector<log_line> &Lines) {
-  // Several links are believed in at once; the plan is one.
+  // Several links, and the contact to several services, are believed in at
+  // once; the plan is one.
   std::map<std::pair<std::string, std::string>, const log_line *> Last;
   for (const log_line &Line : Lines) {
     if (Line.TimeMs > End.TimeMs)
@@ -58,7 +59,11 @@
       continue;
     const std::string &Event = Line.field("event");
     const bool Link = Event.starts_with("control-");
-    Last[{Link ? "control" : Event, Line.field("control")}] = &Line;
+    const bool Contact = Event.starts_with("targets-");
+    Last[{Link      ? "control"
+          : Contact ? "targets"
+                    : Event,
+          Contact ? Line.field("service") : Line.field("control")}] = &Line;
   }
   std::vector<log_line> Beliefs;
   Beliefs.reserve(Last.size());
--- a/programs/ctl/tests/explain_tests.cpp
+++ b/programs/ctl/tests/explain_tests.cpp
@@ -80,6 +80,20 @@
   STRCMP_EQUAL("control-lost", Story.Beliefs[1].field("event").c_str());
 }
 
+TEST(RequestStory, followsARequestOverBothEntriesAndTellsOfLostContact) {
+  const request_story Story = storyOf(
+      "r1",
+      {line(at("01.000", "e1", "event=targets-lost service=even")),
+       line(at("02.000", "e1", "event=targets-lost service=odd")),
+       line(at("03.000", "e1", "event=targets-regained service=odd")),
+       line(ended("04.000", "e2", "r1", false, "t1:2:0+0+0/2x100:good@9")),
+       line(ended("04.001", "e1", "r1", false, "e2:0:relay:good@11"))});
+  LONGS_EQUAL(2, Story.Ends.size());
+  LONGS_EQUAL(2, Story.Beliefs.size());
+  STRCMP_EQUAL("targets-lost", Story.Beliefs[0].field("event").c_str());
+  STRCMP_EQUAL("targets-regained", Story.Beliefs[1].field("event").c_str());
+}
+
 TEST(RequestStory, countsNeighboursAndFindsOrdersAboutItsTargets) {
   const std::string Send = "t-1:0:-:open";
   const request_story Story = storyOf(
