Gateway: order the other entries only when they change

Each change of a target gave an entry a new view, and with it a new list of relays to be decoded and sorted by hundreds of hashes; on the large sites views change several times a second. The decoder now hands out the same list until a member changes. Found while reading the diff, not measured; ViewDecoder's new test checks the list.

--- a/modules/gateway/include/fulmar/gateway/viewdecoder.h
+++ b/modules/gateway/include/fulmar/gateway/viewdecoder.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fulmar::gateway {
@@ -31,7 +32,8 @@
   /// Ids of all entries.
   std::vector<std::string> Entries;
   /// Entries that accept requests from other entries.
-  std::vector<placement::relay_peer> Relays;
+  /// The same object in each view until it changes; null if there are none.
+  std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
   /// Fingerprints of requests that crash targets.
   std::set<std::string> Quarantined;
 };
@@ -57,6 +59,7 @@
   using decoded_items = std::map<std::string, decoded_item<Value>>;
 
   void decodePlan(const publication::published_items &Items);
+  void decodeRelays(const std::vector<publication::item> &Members);
   /// Decodes the items with \p Prefix that have changed.
   template <typename Value>
   void updateItems(decoded_items<Value> &Cache,
@@ -68,7 +71,9 @@
   std::shared_ptr<const fleet::routing_plan> Plan;
   decoded_items<fleet::route> Routes;
   decoded_items<fleet::target_report> Targets;
-  decoded_items<placement::relay_peer> Relays;
+  /// Number of members, and the newest serial of one, when Relays was built.
+  std::pair<std::size_t, publication::serial> RelaysBuiltFrom;
+  std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
   std::size_t Decoded = 0;
 };
 
--- a/modules/gateway/internal/applyview.cpp
+++ b/modules/gateway/internal/applyview.cpp
@@ -45,15 +45,20 @@
                         {"routes", std::to_string(Plan->Routes.size())}});
 }
 
-void applyRelays(gateway_state &State,
-                 const std::vector<placement::relay_peer> &Relays) {
-  const auto Order = std::make_shared<const std::vector<placement::relay_peer>>(
-      placement::relayOrder({.Id = State.Options.InstanceId,
-                             .DataCentre = State.Options.DataCentre,
-                             .Region = State.Options.Region},
-                            Relays));
+void applyRelays(gateway_state &State, const fleet_view &View) {
+  if (View.Relays && View.Relays != State.Relays) {
+    State.Relays = View.Relays;
+    State.RelayOrder =
+        std::make_shared<const std::vector<placement::relay_peer>>(
+            placement::relayOrder({.Id = State.Options.InstanceId,
+                                   .DataCentre = State.Options.DataCentre,
+                                   .Region = State.Options.Region},
+                                  *View.Relays));
+  }
+  if (!State.RelayOrder)
+    return;
   for (auto &[Name, Service] : State.Services)
-    Service->Relays.setPeers(Order);
+    Service->Relays.setPeers(State.RelayOrder);
 }
 
 void applyTargets(gateway_state &State, const fleet_view &View) {
@@ -80,7 +85,7 @@
   applyPlan(*this, View.Plan);
   ColdLimiter.setEntries(View.Entries);
   AnnouncedLimiter.setEntries(View.Entries);
-  applyRelays(*this, View.Relays);
+  applyRelays(*this, View);
   setQuarantined(View.Quarantined);
   applyTargets(*this, View);
 }
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -125,6 +125,9 @@
   placement::fleet_rate_limiter ColdLimiter;
   placement::fleet_rate_limiter AnnouncedLimiter;
   placement::probe_budget ProbeBudget;
+  /// Of the latest view, and in the order in which this entry tries them.
+  std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
+  std::shared_ptr<const std::vector<placement::relay_peer>> RelayOrder;
   fleet::route_table Routes;
   std::map<std::string, service_ptr> Services;
   /// By route name.
--- a/modules/gateway/internal/viewdecoder.cpp
+++ b/modules/gateway/internal/viewdecoder.cpp
@@ -8,6 +8,9 @@
 #include <json/reader.h>
 #include <json/value.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace fulmar::gateway {
 
 namespace {
@@ -85,6 +88,28 @@
   Plan = std::make_shared<const fleet::routing_plan>(std::move(Read).value());
 }
 
+void view_decoder::decodeRelays(const std::vector<publication::item> &Members) {
+  std::pair<std::size_t, publication::serial> Present;
+  for (const auto &Item : Members) {
+    ++Present.first;
+    Present.second = std::max(Present.second, Item.Serial);
+  }
+  if (std::exchange(RelaysBuiltFrom, Present) == Present)
+    return;
+  std::vector<placement::relay_peer> Peers;
+  for (const auto &Item : Members) {
+    auto Read = decodeRelay(Item.Value);
+    if (!Read)
+      telemetry::logChange(
+          telemetry::log_level::Error, "feed", "item-malformed",
+          {{"item", Item.Key}, {"error", Read.error().Message}});
+    else if (!Read.value().Address.empty())
+      Peers.push_back(std::move(Read).value());
+  }
+  Relays = std::make_shared<const std::vector<placement::relay_peer>>(
+      std::move(Peers));
+}
+
 fleet_view view_decoder::decode(const publication::published_items &Items) {
   decodePlan(Items);
   fleet_view View{.Serial = Items.latest(), .Plan = Plan};
@@ -100,13 +125,11 @@
         !View.DataCentresOut.contains(Report->DataCentre))
       View.Targets.push_back(*Report);
   }
-  for (const auto &Item : Items.withPrefix(publication::MemberPrefix))
+  const auto Members = Items.withPrefix(publication::MemberPrefix);
+  for (const auto &Item : Members)
     View.Entries.push_back(keySuffix(Item, publication::MemberPrefix));
-  updateItems(Relays, Items, publication::MemberPrefix, &decodeRelay);
-  for (const auto &[Key, Relay] : Relays) {
-    if (Relay.Content && !Relay.Content->Address.empty())
-      View.Relays.push_back(*Relay.Content);
-  }
+  decodeRelays(Members);
+  View.Relays = Relays;
   for (const auto &Item : Items.withPrefix(publication::QuarantinePrefix))
     View.Quarantined.insert(keySuffix(Item, publication::QuarantinePrefix));
   return View;
--- a/modules/gateway/tests/fleetfixture.h
+++ b/modules/gateway/tests/fleetfixture.h
@@ -93,10 +93,13 @@
                     .Plan = std::make_shared<fleet::routing_plan>(Plan)};
     for (const auto &Other : Entries)
       View.Entries.push_back(Other->Id);
+    std::vector<placement::relay_peer> Peers;
     for (const auto &Other : Entries)
-      View.Relays.push_back({.Id = Other->Id,
-                             .DataCentre = "pos",
-                             .Address = Other->RelayAddress});
+      Peers.push_back({.Id = Other->Id,
+                       .DataCentre = "pos",
+                       .Address = Other->RelayAddress});
+    View.Relays = std::make_shared<const std::vector<placement::relay_peer>>(
+        std::move(Peers));
     for (std::size_t Number = 0; Number < TargetCount; ++Number)
       View.Targets.push_back({.Id = Targets[Number]->id(),
                               .Service = "s",
--- a/modules/gateway/tests/relays_tests.cpp
+++ b/modules/gateway/tests/relays_tests.cpp
@@ -28,7 +28,7 @@
   std::unique_ptr<test_entry> &firstRelay() {
     const auto Order =
         placement::relayOrder({.Id = Entries[0]->Id, .DataCentre = "pos"},
-                              viewOf(*Entries[0]).Relays);
+                              *viewOf(*Entries[0]).Relays);
     for (auto &Entry : Entries) {
       if (Entry && Entry->Id == Order.front().Id)
         return Entry;
--- a/modules/gateway/tests/viewdecoder_tests.cpp
+++ b/modules/gateway/tests/viewdecoder_tests.cpp
@@ -112,3 +112,31 @@
   LONGS_EQUAL(1, Decoder.decode(Items).Targets.size());
   LONGS_EQUAL(2, Decoder.decodedCount());
 }
+
+TEST(ViewDecoder, entriesThatAcceptRequestsOfOthersAreListedUntilTheyLeave) {
+  const auto PutMember = [this](const std::string &Id,
+                                const std::string &Address) {
+    Items.put(std::string(publication::MemberPrefix) + Id,
+              "{\"id\":\"" + Id +
+                  "\",\"incarnation\":\"any\",\"data_centre\":\"pos\","
+                  "\"region\":\"tt\",\"address\":\"10.0.0.1:80\","
+                  "\"rpc_address\":\"" +
+                  Address + "\",\"stopping\":false}",
+              ++Serial);
+  };
+  PutMember("e1", "10.0.0.1:81");
+  PutMember("e2", "");
+  const auto First = Decoder.decode(Items).Relays;
+  LONGS_EQUAL(1, First->size());
+  CHECK_TRUE(First->front() ==
+             (placement::relay_peer{.Id = "e1",
+                                    .DataCentre = "pos",
+                                    .Region = "tt",
+                                    .Address = "10.0.0.1:81"}));
+  putTarget("a");
+  CHECK_TRUE(Decoder.decode(Items).Relays == First);
+  PutMember("e2", "10.0.0.2:81");
+  LONGS_EQUAL(2, Decoder.decode(Items).Relays->size());
+  Items.put(std::string(publication::MemberPrefix) + "e1", "", ++Serial);
+  LONGS_EQUAL(1, Decoder.decode(Items).Relays->size());
+}
--- a/modules/placement/internal/relayselector.cpp
+++ b/modules/placement/internal/relayselector.cpp
@@ -52,7 +52,7 @@
 
 void relay_selector::setPeers(
     std::shared_ptr<const std::vector<relay_peer>> Order) {
-  if (Peers && *Peers == *Order)
+  if (Peers == Order)
     return;
   Peers = std::move(Order);
   std::set<std::string> Ids;
