--- a/modules/gateway/tests/fleetfixture.h
+++ b/modules/gateway/tests/fleetfixture.h
@@ -48,24 +48,7 @@
   };
   std::vector<std::unique_ptr<scripted_target>> Targets;
   std::vector<std::unique_ptr<test_entry>> Entries;
-  fleet::routing_plan Plan{
-      .Version = 1,
-      .Routes = {{.Name = "read",
-                  .Host = "a.example",
-                  .PathPrefix = "/read/",
-                  .Idempotency = fleet::idempotency::Idempotent,
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2},
-                 {.Name = "write",
-                  .Host = "a.example",
-                  .PathPrefix = "/write/",
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2}},
-      .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
+  fleet::routing_plan Plan = testPlan();
 
   void setup() override {
     for (std::size_t Number = 0; Number < TargetCount; ++Number)
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -83,6 +83,27 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+/// Routes /read/ and /write/ to the service "s".
+inline fleet::routing_plan testPlan() {
+  return {.Version = 1,
+          .Routes = {{.Name = "read",
+                      .Host = "a.example",
+                      .PathPrefix = "/read/",
+                      .Idempotency = fleet::idempotency::Idempotent,
+                      .Shares = {{.Service = "s"}},
+                      .TimeoutMs = 1'000,
+                      .ObjectiveMs = 400,
+                      .Attempts = 2},
+                     {.Name = "write",
+                      .Host = "a.example",
+                      .PathPrefix = "/write/",
+                      .Shares = {{.Service = "s"}},
+                      .TimeoutMs = 1'000,
+                      .ObjectiveMs = 400,
+                      .Attempts = 2}},
+          .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
+}
+
 class gateway_fixture : public Utest {
 public:
   eventloop::loop Loop;
@@ -101,24 +122,7 @@
         Metrics
   };
   std::vector<std::unique_ptr<scripted_target>> Targets;
-  fleet::routing_plan Plan{
-      .Version = 1,
-      .Routes = {{.Name = "read",
-                  .Host = "a.example",
-                  .PathPrefix = "/read/",
-                  .Idempotency = fleet::idempotency::Idempotent,
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2},
-                 {.Name = "write",
-                  .Host = "a.example",
-                  .PathPrefix = "/write/",
-                  .Shares = {{.Service = "s"}},
-                  .TimeoutMs = 1'000,
-                  .ObjectiveMs = 400,
-                  .Attempts = 2}},
-      .Services = {{.Name = "s", .HealthPath = "/healthz"}}};
+  fleet::routing_plan Plan = testPlan();
 
   void setup() override { CHECK_TRUE(Gateway.start().has_value()); }
 
--- a/modules/gateway/tests/relays_tests.cpp
+++ b/modules/gateway/tests/relays_tests.cpp
@@ -36,6 +36,14 @@
     FAIL("no entry relays");
     return Entries.back();
   }
+  /// Sends a request that reaches a target and gets no response there.
+  void leaveUnanswered(test_caller & Caller, const char *Method,
+                       const char *Path) {
+    Script = [](const received_request &) { return target_action{}; };
+    const std::size_t Before = requestCount();
+    Caller.send(requestWithId(Method, Path, "x"));
+    CHECK_TRUE(runUntil([&] { return requestCount() > Before; }));
+  }
   const received_request &lastRequest() const {
     for (const auto &Target : Targets) {
       if (!Target->requests().empty() &&
@@ -115,11 +123,9 @@
 }
 
 TEST(Relays, anUnsafeRequestWhoseRelayIsLostRunsOnceAndIsNotCalledUnrun) {
-  Script = [](const received_request &) { return target_action{}; };
   test_caller Caller(Loop, true, Entries[0]->Address);
   const std::size_t Before = requestCount();
-  Caller.send(requestWithId("POST", "/write/x", "x"));
-  CHECK_TRUE(runUntil([&] { return requestCount() > Before; }));
+  leaveUnanswered(Caller, "POST", "/write/x");
   Script = [](const received_request &Request) {
     return target_action{.Bytes = scripted_target::ok(Request, "again")};
   };
@@ -130,11 +136,9 @@
 }
 
 TEST(Relays, anIdempotentRequestWhoseRelayIsLostIsServedThroughAnother) {
-  Script = [](const received_request &) { return target_action{}; };
   test_caller Caller(Loop, true, Entries[0]->Address);
   const std::size_t Before = requestCount();
-  Caller.send(requestWithId("GET", "/read/x", "x"));
-  CHECK_TRUE(runUntil([&] { return requestCount() > Before; }));
+  leaveUnanswered(Caller, "GET", "/read/x");
   Script = [](const received_request &Request) {
     return target_action{.Bytes = scripted_target::ok(Request, "again")};
   };
@@ -145,11 +149,9 @@
 }
 
 TEST(Relays, aCallerThatLeavesEndsTheWorkAtTheTarget) {
-  Script = [](const received_request &) { return target_action{}; };
   test_caller Caller(Loop, true, Entries[0]->Address);
   const std::size_t Before = requestCount();
-  Caller.send(requestWithId("GET", "/read/x", "x"));
-  CHECK_TRUE(runUntil([&] { return requestCount() > Before; }));
+  leaveUnanswered(Caller, "GET", "/read/x");
   Caller.close();
   CHECK_TRUE(runUntil(
       [&] {
