Gateway: contact is lost when all targets that may be asked are silent

Cause: three silent targets were needed, or all that are listed; but leaving, paused, limited and cold targets are listed and not probed, so that with two others contact was never lost for that service, for 7.5 s, and its requests waited and were rejected. The log lines of entry-12 show it: service odd, listed 5, last answer 8,384 ms before it was lost. Change: the count is that of the targets that candidates() could return. PartitionedEntries.callersAreServedWhenFewTargetsMayBeAsked failed before. The gauge of services without contact is now also brought up to date while contact is lost.

--- a/modules/gateway/internal/contactwatch.cpp
+++ b/modules/gateway/internal/contactwatch.cpp
@@ -40,8 +40,10 @@
 void contact_watch::silent(service_state &Service, const std::string &Target,
                            base::instant AskedAt) {
   const base::instant Now = State.Loop.now();
-  const auto Change =
-      Service.Contact.silent(Target, Service.Placement.size(), AskedAt, Now);
+  // The others can't be silent, because they are not asked.
+  const std::size_t Askable =
+      std::max<std::size_t>(1, Service.Placement.candidateCount(Now));
+  const auto Change = Service.Contact.silent(Target, Askable, AskedAt, Now);
   if (Change != placement::contact_change::Lost)
     return;
   const auto LastAnswer = Service.Contact.lastAnswer();
@@ -68,6 +70,7 @@
     AnyLost = true;
     probe(Service, 1);
   }
+  updateGauge();
   if (AnyLost)
     CheckTimer.after(CheckInterval, [this] { check(); });
 }
--- a/modules/gateway/tests/partitionedentries_tests.cpp
+++ b/modules/gateway/tests/partitionedentries_tests.cpp
@@ -37,6 +37,16 @@
   CHECK_TRUE(served(0, 10) >= 9);
 }
 
+// Most targets of the service want no requests and are not probed, so that few
+// can be silent.
+TEST(PartitionedEntries, callersAreServedWhenFewTargetsMayBeAsked) {
+  for (std::size_t Number = 2; Number < TargetCount; ++Number)
+    Targets[Number]->setHealthHeaders("T-Leaving: 1\r\n");
+  for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
+    served(Entry, 10);
+  CHECK_TRUE(servedWhile(link_state::Hanging, "GET", "/read/") >= 19);
+}
+
 // Open connections live on, new ones are refused: so is the connection that
 // would prove that the target still runs.
 TEST(PartitionedEntries, aSlowRequestIsNotBlamedForTheCutOfItsEntry) {
--- a/modules/placement/include/fulmar/placement/serviceplacement.h
+++ b/modules/placement/include/fulmar/placement/serviceplacement.h
@@ -87,6 +87,10 @@
   std::vector<std::string> candidates(const candidate_query &Query,
                                       base::instant Now);
 
+  /// Returns the number of targets that candidates() could return to a request
+  /// that has not been tried anywhere.
+  std::size_t candidateCount(base::instant Now);
+
   /// Records the start of a probe. A target that takes unusually long to answer
   /// is no candidate until the probe ends.
   void probeStarted(const std::string &Target, base::instant Now);
@@ -188,6 +192,14 @@
   using target_run = std::pair<std::string, std::int64_t>;
   enum class availability : std::uint8_t { Usable, Cold, BackedOff, Closed };
 
+  /// In order of preference.
+  enum class candidate_class : std::uint8_t { Local, Remote, Cold, BackedOff };
+  static constexpr std::size_t CandidateClasses = 4;
+
+  /// Empty if the target must not even be probed.
+  std::optional<candidate_class> classOf(const std::string &Id,
+                                         const target &State, bool WidenSearch,
+                                         base::instant Now);
   [[nodiscard]] availability
   availabilityOf(const std::string &Id, const target &State, base::instant Now);
   /// True if a probe can find out whether the target is still cold.
--- a/modules/placement/include/fulmar/placement/targetcontact.h
+++ b/modules/placement/include/fulmar/placement/targetcontact.h
@@ -22,9 +22,9 @@
 class target_contact {
 public:
   /// Records that \p Target did not answer what was sent to it at \p AskedAt,
-  /// or that it could not be reached. \p Listed is the number of targets of the
-  /// service.
-  contact_change silent(const std::string &Target, std::size_t Listed,
+  /// or that it could not be reached. \p Askable is the number of targets that
+  /// may be asked: others of the service may be leaving, paused or cold.
+  contact_change silent(const std::string &Target, std::size_t Askable,
                         base::instant AskedAt, base::instant Now);
   /// Records that some target answered, whatever the answer was.
   contact_change answered(base::instant Now);
--- a/modules/placement/internal/serviceplacement.cpp
+++ b/modules/placement/internal/serviceplacement.cpp
@@ -5,6 +5,7 @@
 #include <absl/random/distributions.h>
 
 #include <algorithm>
+#include <array>
 
 namespace fulmar::placement {
 
@@ -122,28 +123,39 @@
                Random);
 }
 
+std::optional<service_placement::candidate_class>
+service_placement::classOf(const std::string &Id, const target &State,
+                           bool WidenSearch, base::instant Now) {
+  const availability Availability = availabilityOf(Id, State, Now);
+  const bool IsCold = Availability == availability::Cold;
+  const bool Local =
+      WidenSearch || State.Report.DataCentre == Options.DataCentre;
+  const bool Permitted =
+      IsCold && Limiters.Cold.allows(Id, Options.WarmUpRate, Now);
+  const bool Unchecked = IsCold && mayBeWarm(State);
+  if (Availability == availability::Usable || Unchecked ||
+      (Permitted && WidenSearch))
+    return Local ? candidate_class::Local : candidate_class::Remote;
+  if (Availability == availability::BackedOff)
+    return candidate_class::BackedOff;
+  return Permitted ? std::optional(candidate_class::Cold) : std::nullopt;
+}
+
+std::size_t service_placement::candidateCount(base::instant Now) {
+  std::size_t Count = 0;
+  for (const auto &[Id, State] : Targets)
+    Count += classOf(Id, State, true, Now) ? 1 : 0;
+  return Count;
+}
+
 std::vector<std::string>
 service_placement::candidates(const candidate_query &Query, base::instant Now) {
-  // Classes in order of preference: local, remote, cold, backed off.
-  constexpr std::size_t Classes = 4;
-  std::vector<const target *> ByClass[Classes];
+  std::array<std::vector<const target *>, CandidateClasses> ByClass;
   for (const auto &[Id, State] : Targets) {
     if (Query.Excluded.contains(Id))
       continue;
-    const availability Availability = availabilityOf(Id, State, Now);
-    const bool Local =
-        Query.WidenSearch || State.Report.DataCentre == Options.DataCentre;
-    const bool Permitted = Availability == availability::Cold &&
-                           Limiters.Cold.allows(Id, Options.WarmUpRate, Now);
-    const bool Unchecked =
-        Availability == availability::Cold && mayBeWarm(State);
-    if (Availability == availability::Usable || Unchecked ||
-        (Permitted && Query.WidenSearch))
-      ByClass[Local ? 0 : 1].push_back(&State);
-    else if (Availability == availability::BackedOff)
-      ByClass[3].push_back(&State);
-    else if (Permitted)
-      ByClass[2].push_back(&State);
+    if (const auto Class = classOf(Id, State, Query.WidenSearch, Now))
+      ByClass[static_cast<std::size_t>(*Class)].push_back(&State);
   }
   std::vector<std::string> Chosen;
   const auto IsHinted = [&Query](const target *State) {
--- a/modules/placement/internal/targetcontact.cpp
+++ b/modules/placement/internal/targetcontact.cpp
@@ -16,14 +16,15 @@
 } // namespace
 
 contact_change target_contact::silent(const std::string &Target,
-                                      std::size_t Listed, base::instant AskedAt,
+                                      std::size_t Askable,
+                                      base::instant AskedAt,
                                       base::instant Now) {
   if (LastAnswer &&
       (AskedAt < *LastAnswer || Now - *LastAnswer < AnswerValidity))
     return contact_change::None;
   Silent.insert(Target);
-  if (LostAt || Listed == 0 ||
-      Silent.size() < std::min(SilentTargetsToLose, Listed))
+  if (LostAt || Askable == 0 ||
+      Silent.size() < std::min(SilentTargetsToLose, Askable))
     return contact_change::None;
   LostAt = LastLostAt = Now;
   return contact_change::Lost;
