Tests: let the probes of cut links end before a test's entries do

Under the address sanitizer PartitionedEntries leaked 92 allocations: probes in flight when the loop ended. The fixture opens all links and waits longer than a probe may take.

--- a/modules/gateway/tests/fleetfixture.h
+++ b/modules/gateway/tests/fleetfixture.h
@@ -71,6 +71,15 @@
       Entry->Gateway.apply(viewOf(*Entry));
   }
 
+  /// Lets the probes of hanging targets end: they refer to their entry.
+  void teardown() override {
+    for (std::size_t Number = 0; Number < EntryCount; ++Number) {
+      if (Entries[Number])
+        setLinks(Number, link_state::Open);
+    }
+    runFor(std::chrono::milliseconds(600));
+  }
+
   fleet_view viewOf(const test_entry &Entry) const {
     fleet_view View{.Serial = 1,
                     .Plan = std::make_shared<fleet::routing_plan>(Plan)};
