--- a/review/standins/heldorder.cpp
+++ b/review/standins/heldorder.cpp
@@ -7,10 +7,11 @@
 // heartbeat every 1.5 s, health answers with a load, and answers after 20 ms.
 // Clients: one at each entry, a safe request every 50 ms.
 //
-// Operator: evacuates zone chag, ends that after 3 s, evacuates it again 4 s
-// later, and ends that after 14 s. An order without a clear answer within 1 s
-// is sent again to the next instance. The first copy of the order that ends the
-// first evacuation is sent to the frozen instance, just after it froze.
+// Operator: evacuates zone chag, ends that after 3 s, evacuates it again 7 s
+// after it sent that, and ends that after 8 s. An order without a clear answer
+// within 1 s is sent again to the next instance. The first copy of the order
+// that ends the first evacuation is sent to the frozen instance, just after it
+// froze.
 //
 // Check (RULES.md, EVAC): no request reaches an upstream in chag later than 5 s
 // after the second evacuation was acknowledged and before the order that ends
@@ -64,6 +65,8 @@
 constexpr milliseconds EvacuateBound(5'000);
 constexpr milliseconds ContactTime(3'000);
 constexpr milliseconds FreezeTime(8'000);
+constexpr milliseconds EvacuationGap(7'000);
+constexpr milliseconds EvacuationTime(8'000);
 
 const std::array<std::string, 4> Zones = {"pos", "sfdo", "arima", "chag"};
 const std::string Evacuated = "chag";
@@ -430,7 +433,7 @@
   }
   if (!order(Record, Frozen, "Evacuate.Finish/" + Evacuated))
     return 2;
-  std::this_thread::sleep_for(milliseconds(4'000));
+  std::this_thread::sleep_until(FrozenAt + EvacuationGap);
   const auto Acknowledged = order(Record, 1, "Evacuate.Start/" + Evacuated);
   if (!Acknowledged)
     return 2;
@@ -441,7 +444,7 @@
   }
   const auto From =
       std::max(*Acknowledged + EvacuateBound, steady::now() + ContactTime);
-  std::this_thread::sleep_until(*Acknowledged + milliseconds(14'000));
+  std::this_thread::sleep_until(*Acknowledged + EvacuationTime);
   const auto Until = steady::now();
   long Reached = 0;
   long Others = 0;
