--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -7,6 +7,7 @@
 #include "fulmar/consensus/replicatedlog.h"
 #include "fulmar/controlnode/callqueue.h"
 #include "fulmar/controlnode/livenesstable.h"
+#include "fulmar/controlnode/stallmonitor.h"
 #include "fulmar/controlnode/voterpolicy.h"
 #include "fulmar/controlstate/controlstate.h"
 #include "fulmar/eventloop/framelink.h"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +65,15 @@
   /// Reads the routing plan's document, confirmed by a quorum to be the newest.
   void readDocument(base::duration Limit, call_handler Handler);
 
+  /// Records that this instance runs and logs a stall that ends now. Called
+  /// with each tick; also call it before work whose age matters.
+  void recordTurn();
+  /// End of this instance's last stall; empty if there was none.
+  [[nodiscard]] std::optional<base::instant> stallEndedAt() const {
+    return Stalls.endedAt();
+  }
+  [[nodiscard]] base::instant now() const { return Loop.now(); }
+
   /// Records that a target sent a report to this instance.
   void recordTargetReport(const std::string &Id);
 
@@ -128,6 +139,8 @@
   /// Returns the encoded changes after \p Since. The result is cached, because
   /// entries mostly request the same changes.
   const std::string &changesSince(publication::serial Since);
+  /// Logs each change of a data centre as this instance applies it.
+  void logDataCentreChanges();
   void performMaintenance();
   void requestMembership();
   void removeSilentVoter();
@@ -151,6 +164,9 @@
   std::map<eventloop::frame_link *, accepted_link> AcceptedLinks;
 
   call_queue Calls;
+  stall_monitor Stalls;
+  /// Serial of each data centre's last logged change.
+  std::map<std::string, std::uint64_t> LoggedSerials;
   liveness_table Liveness;
   voter_policy Voters;
   /// Handlers of proposals and reads that are pending in the log.
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -41,18 +41,10 @@
 /// adds one instance at a time, which takes several round trips and disk syncs.
 constexpr auto JoinInterval = std::chrono::milliseconds(100);
 constexpr auto MaintenanceInterval = std::chrono::milliseconds(500);
-/// Deadline of calls that this instance makes on its own.
-constexpr auto InternalCallTimeout = std::chrono::seconds(2);
 /// If no voter takes over within this time, the next leader is found by an
 /// election.
 constexpr auto LeadershipTransferTimeout = std::chrono::milliseconds(1'500);
 
-std::int64_t wallClockMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 consensus::replicated_log_options
 logOptions(const control_node_options &Options) {
   consensus::replicated_log_options Log{.Folder = Options.DataFolder};
@@ -128,38 +120,40 @@
     dial(Seed);
 }
 
-void control_node::propose(controlstate::command_body Body,
-                           base::duration Limit, reply_handler Handler) {
-  Calls.add(fleetlink::leader_call::Propose,
-            controlstate::encodeCommand(
-                {.WallMs = wallClockMs(), .Body = std::move(Body)}),
-            Loop.now() + Limit,
-            [Handler = std::move(Handler)](const call_result &Result) {
-              if (!Result)
-                return Handler(Result.error());
-              auto Reply = controlstate::decodeReply(Result.value());
-              if (!Reply)
-                return Handler(Reply.error());
-              const auto *Refusal =
-                  std::get_if<controlstate::error_reply>(&Reply.value());
-              if (Refusal != nullptr)
-                return Handler(Refusal->Error);
-              Handler(std::move(Reply).value());
-            });
-  attemptDueCalls();
+void control_node::recordTargetReport(const std::string &Id) {
+  Liveness.recordTargetReport(Id, Loop.now());
 }
 
-void control_node::readDocument(base::duration Limit, call_handler Handler) {
-  Calls.add(fleetlink::leader_call::ReadDocument, {}, Loop.now() + Limit,
-            std::move(Handler));
-  attemptDueCalls();
+void control_node::recordTurn() {
+  const auto Stall = Stalls.recordTurn(Loop.now());
+  if (!Stall)
+    return;
+  Metrics.counterOf("fulmar_control_stalls_total").add();
+  telemetry::logChange(
+      telemetry::log_level::Warning, "control", "stalled",
+      {{"ms", std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(*Stall)
+                      .count())},
+       {"role", IsLeader ? "leader" : "follower"},
+       {"pending_calls", std::to_string(Calls.size())}});
 }
 
-void control_node::recordTargetReport(const std::string &Id) {
-  Liveness.recordTargetReport(Id, Loop.now());
+void control_node::logDataCentreChanges() {
+  for (const auto &[Name, Held] : State.dataCentres().states()) {
+    std::uint64_t &Logged = LoggedSerials[Name];
+    if (std::exchange(Logged, Held.Serial) != Held.Serial)
+      telemetry::logChange(telemetry::log_level::Info, "control",
+                           "data-centre-changed",
+                           {{"data_centre", Name},
+                            {"state", Held.InService ? "in" : "out"},
+                            {"serial", std::to_string(Held.Serial)},
+                            {"operation", Held.OperationId},
+                            {"author", Held.Author}});
+  }
 }
 
 void control_node::tick() {
+  recordTurn();
   Log->tick(Loop.now());
   flush();
   runHandlers(Calls.expire(Loop.now()));
@@ -191,6 +185,7 @@
     sendTo(Message.To, fleetlink::log_message{Options.LinkAddress,
                                               std::move(Message.Bytes)});
   }
+  logDataCentreChanges();
   for (const consensus::role_change &Change : Outputs.RoleChanges)
     onRoleChange(Change);
   for (const consensus::completion &Completion : Outputs.Completions)
@@ -251,61 +246,6 @@
   }
 }
 
-void control_node::onCompletion(const consensus::completion &Completion) {
-  const auto Found = PendingRequests.find(Completion.Ticket);
-  if (Found == PendingRequests.end())
-    return;
-  const call_handler Handler = std::move(Found->second);
-  PendingRequests.erase(Found);
-  if (Completion.Error)
-    Handler(*Completion.Error);
-  else
-    Handler(Completion.Reply);
-}
-
-void control_node::runHandlers(std::vector<finished_call> Finished) {
-  for (finished_call &Call : Finished)
-    Call.Handler(std::move(Call.Result));
-}
-
-void control_node::attemptDueCalls() {
-  for (const due_call &Call : Calls.takeDue(Loop.now()))
-    attemptCall(Call);
-}
-
-void control_node::attemptCall(const due_call &Call) {
-  if (!IsLeader) {
-    if (Leader.empty())
-      return Calls.postpone(Call.Id, Loop.now());
-    return sendTo(Leader, fleetlink::call_request{.From = Options.LinkAddress,
-                                                  .Id = Call.Id,
-                                                  .Call = Call.Call,
-                                                  .Command = Call.Command});
-  }
-  executeLocally(Call.Call, Call.Command,
-                 [this, Id = Call.Id](call_result Result) {
-                   if (Result)
-                     return runHandlers(Calls.finish(Id, std::move(Result)));
-                   Calls.postpone(Id, Loop.now());
-                 });
-}
-
-void control_node::executeLocally(fleetlink::leader_call Call,
-                                  std::string Command,
-                                  const call_handler &Done) {
-  const bool Reads = Call == fleetlink::leader_call::ReadDocument;
-  const auto Ticket = Reads ? Log->read(Loop.now())
-                            : Log->propose(std::move(Command), Loop.now());
-  if (!Ticket)
-    return Done(Ticket.error());
-  PendingRequests[Ticket.value()] = [this, Reads,
-                                     Done](const call_result &Result) {
-    Done(Result && Reads ? call_result(State.plan().current().Document)
-                         : Result);
-  };
-  scheduleFlush();
-}
-
 std::vector<std::string> control_node::memberAddresses() const {
   std::vector<std::string> Addresses;
   const consensus::configuration Members = Log->status(Loop.now()).Members;
@@ -367,16 +307,6 @@
     proposeInBackground(std::move(Body));
 }
 
-void control_node::proposeInBackground(controlstate::command_body Body) {
-  propose(std::move(Body), InternalCallTimeout,
-          [](const base::result<controlstate::reply> &Reply) {
-            if (!Reply)
-              telemetry::logChange(telemetry::log_level::Warning, "control",
-                                   "command-failed",
-                                   {{"error", Reply.error().Message}});
-          });
-}
-
 void control_node::fail(const base::error &Cause) {
   telemetry::logChange(telemetry::log_level::Error, "control", "log-failed",
                        {{"error", Cause.Message}});
--- a/modules/eventloop/include/fulmar/eventloop/httpserver.h
+++ b/modules/eventloop/include/fulmar/eventloop/httpserver.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace fulmar::eventloop {
 
@@ -33,8 +34,24 @@
   friend auto operator<=>(const http_answer &, const http_answer &) = default;
 };
 
-/// Called once, at once or later.
-using http_responder = std::function<void(http_answer)>;
+/// Answers one request. Call it once, at once or later.
+class http_responder {
+public:
+  using answer_function = std::function<void(http_answer)>;
+  using connected_function = std::function<bool()>;
+
+  http_responder(answer_function Answering, connected_function Checking)
+      : Answer(std::move(Answering)), Connected(std::move(Checking)) {}
+
+  void operator()(http_answer Given) const { Answer(std::move(Given)); }
+  /// False once the caller has closed its connection or its sending side. True
+  /// does not prove that it still waits: its close may be delayed or lost.
+  [[nodiscard]] bool callerConnected() const { return Connected(); }
+
+private:
+  answer_function Answer;
+  connected_function Connected;
+};
 using http_handler = std::function<void(http_request, http_responder)>;
 
 struct http_server_options {
--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -6,6 +6,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -66,9 +70,10 @@
                          .Body = std::move(Message.body())};
     const bool Handled = guarded("http", [&] {
       (*Handler)(std::move(Request),
-                 [Self = shared_from_this(), Keep](http_answer Answer) {
-                   Self->answer(std::move(Answer), Keep);
-                 });
+                 {[Self = shared_from_this(), Keep](http_answer Answer) {
+                    Self->answer(std::move(Answer), Keep);
+                  },
+                  [Self = shared_from_this()] { return Self->isConnected(); }});
     });
     if (!Handled && !Answered)
       answer({.Status = 500, .Body = "{\"error\":\"internal error\"}"}, false);
@@ -97,6 +102,21 @@
                       });
   }
 
+  bool isConnected() {
+    if (!Socket.is_open())
+      return false;
+    const int Handle = Socket.native_handle();
+    char Next = 0;
+    const ssize_t Count = ::recv(Handle, &Next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (Count < 0)
+      return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (Count == 0)
+      return false;
+    // Unread bytes of a further request hide the end of the stream from recv.
+    pollfd Polled{.fd = Handle, .events = POLLRDHUP, .revents = 0};
+    return ::poll(&Polled, 1, 0) <= 0;
+  }
+
   void close() {
     error_code Ignored;
     Socket.shutdown(tcp::socket::shutdown_send, Ignored);
--- a/modules/eventloop/tests/links_tests.cpp
+++ b/modules/eventloop/tests/links_tests.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace fulmar;
 using namespace fulmar::eventloop;
@@ -198,6 +199,56 @@
                       .c_str());
 }
 
+namespace {
+
+/// Keeps each request's responder and leaves the requests unanswered.
+struct unanswering_server {
+  explicit unanswering_server(loop &Loop)
+      : Server(Loop, {.Address = HttpAddress},
+               [this](const http_request &, const http_responder &To) {
+                 Open.push_back(To);
+               }) {
+    CHECK_TRUE(Server.start().has_value());
+  }
+
+  std::vector<http_responder> Open;
+  http_server Server;
+};
+
+} // namespace
+
+// Guards against work for a caller that has left: the close is seen when the
+// request is read, although it came in while nothing was read.
+TEST(Links, aCallerThatLeftBeforeItsRequestWasReadIsNotConnected) {
+  loop Loop;
+  const unanswering_server Server(Loop);
+  for (const std::string &Further : {std::string(), std::string("GET /y")}) {
+    tcp::socket Socket(Loop.context());
+    Socket.connect(parseEndpoint(HttpAddress).value());
+    asio::write(Socket,
+                asio::buffer("GET /x HTTP/1.1\r\nHost: x\r\n\r\n" + Further));
+    Socket.close();
+    const std::size_t Before = Server.Open.size();
+    CHECK_TRUE(runUntil(Loop, [&] { return Server.Open.size() > Before; }));
+    CHECK_FALSE(Server.Open.back().callerConnected());
+  }
+}
+
+TEST(Links, aCallerThatWaitsIsConnected) {
+  loop Loop;
+  const unanswering_server Server(Loop);
+  tcp::socket Socket(Loop.context());
+  Socket.connect(parseEndpoint(HttpAddress).value());
+  asio::write(Socket,
+              asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: x\r\n\r\n"
+                                       "GET /y HTTP/1.1\r\n")));
+  CHECK_TRUE(runUntil(Loop, [&] { return !Server.Open.empty(); }));
+  CHECK_TRUE(Server.Open.back().callerConnected());
+  Socket.close();
+  CHECK_TRUE(
+      runUntil(Loop, [&] { return !Server.Open.back().callerConnected(); }));
+}
+
 TEST(Links, anErrorInAHandlerEndsOnlyItsConnection) {
   loop Loop;
   int Calls = 0;
