Orders on data centres: a copy left behind takes no effect

Nothing tells two copies of an order apart, so whichever is committed last wins, whether or not its caller still waits.

Fix: an order gets the number of operations that the instance has seen applied to the data centre, then its caller is looked at, then it is proposed under an id made of name and number. Two operations with the same number have the same id, of which every version of the replicated state applies at most one. A caller that was still there sends its next copy later, and whatever is committed for that copy uses up the number. An order that was overtaken while its caller waits is numbered again; the leader refuses a number that is too low without appending it (an instance of an earlier version uses up no number) and tells its commit index at once.

--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -42,6 +42,16 @@
   base::duration DeadVoterTimeout = voter_policy::DefaultDeadVoterTimeout;
 };
 
+/// An order on a data centre from a caller that chose no id for it.
+struct data_centre_order {
+  std::string Name;
+  controlstate::data_centre_action Action =
+      controlstate::data_centre_action::Leave;
+  std::string Author;
+  /// False once the caller is known to have left.
+  std::function<bool()> CallerConnected;
+};
+
 class control_node {
 public:
   control_node(eventloop::loop &OwningLoop, control_node_options Chosen,
@@ -62,6 +72,11 @@
   /// Executes a command on the leader within \p Limit.
   void propose(controlstate::command_body Body, base::duration Limit,
                reply_handler Handler);
+  /// Executes an operator's order on a data centre within \p Limit, numbered by
+  /// the operations that this instance has applied. An order that was overtaken
+  /// by another one is numbered again while its caller is connected.
+  void operate(data_centre_order Order, base::duration Limit,
+               reply_handler Handler);
   /// Reads the routing plan's document, confirmed by a quorum to be the newest.
   void readDocument(base::duration Limit, call_handler Handler);
 
@@ -125,6 +140,21 @@
   void flush();
   void onRoleChange(const consensus::role_change &Change);
   void onCompletion(const consensus::completion &Completion);
+  /// An order and the number of its last attempt.
+  struct pending_order {
+    data_centre_order Order;
+    base::instant Deadline{};
+    reply_handler Handler;
+    std::uint64_t Number = 0;
+    /// An earlier attempt may have taken effect.
+    bool Attempted = false;
+  };
+  void attemptOrder(pending_order Pending);
+  void onOrderReply(pending_order Pending,
+                    const base::result<controlstate::reply> &Reply);
+  /// Attempts the overtaken orders whose successor is applied here by now, and
+  /// ends those whose time is over.
+  void resumeOrders();
   void runHandlers(std::vector<finished_call> Finished);
   void attemptDueCalls();
   void attemptCall(const due_call &Call);
@@ -164,6 +194,8 @@
   std::map<eventloop::frame_link *, accepted_link> AcceptedLinks;
 
   call_queue Calls;
+  /// Overtaken orders that wait until this instance knows their successor.
+  std::vector<pending_order> OvertakenOrders;
   stall_monitor Stalls;
   /// Serial of each data centre's last logged change.
   std::map<std::string, std::uint64_t> LoggedSerials;
--- a/modules/controlnode/internal/controlcalls.cpp
+++ b/modules/controlnode/internal/controlcalls.cpp
@@ -103,6 +103,14 @@
                                   std::string Command,
                                   const call_handler &Done) {
   const bool Reads = Call == fleetlink::leader_call::ReadDocument;
+  if (!Reads) {
+    if (auto Outdated = State.outdatedReply(Command)) {
+      // The instance that is behind numbers the order again once it is not.
+      Log->announceCommit(Loop.now());
+      scheduleFlush();
+      return Done(std::move(*Outdated));
+    }
+  }
   const auto Ticket = Reads ? Log->read(Loop.now())
                             : Log->propose(std::move(Command), Loop.now());
   if (!Ticket)
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -157,6 +157,7 @@
   Log->tick(Loop.now());
   flush();
   runHandlers(Calls.expire(Loop.now()));
+  resumeOrders();
   attemptDueCalls();
 }
 
@@ -190,6 +191,7 @@
     onRoleChange(Change);
   for (const consensus::completion &Completion : Outputs.Completions)
     onCompletion(Completion);
+  resumeOrders();
   // Announce the first fresh proof immediately: entries that have just started
   // wait for it.
   if (hasFreshProof() && !AnnouncedFreshProof)
--- a/modules/controlstate/include/fulmar/controlstate/commands.h
+++ b/modules/controlstate/include/fulmar/controlstate/commands.h
@@ -46,7 +46,8 @@
 
 /// Takes a data centre out of service or puts it back.
 struct data_centre_command {
-  /// Unique; kept permanently to recognise duplicates.
+  /// Unique, or numbered (datacentretable.h); kept permanently to recognise
+  /// duplicates.
   std::string OperationId;
   std::string Name;
   data_centre_action Action = data_centre_action::Leave;
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -45,6 +45,14 @@
   [[nodiscard]] std::string snapshot() const override;
   base::result<void> restore(std::string_view Snapshot) override;
 
+  /// The encoded reply to a numbered operation that is known to come too late,
+  /// for the leader, which need not append it then. Empty for all other
+  /// commands. Instances of any version apply such an operation without effect
+  /// unless an operation with an id of its own came in between, which only this
+  /// tells.
+  [[nodiscard]] std::optional<std::string>
+  outdatedReply(std::string_view Command) const;
+
   /// Like apply(), but takes and returns decoded values.
   reply applyCommand(consensus::log_index Index, const command &Command);
 
--- a/modules/controlstate/include/fulmar/controlstate/datacentretable.h
+++ b/modules/controlstate/include/fulmar/controlstate/datacentretable.h
@@ -1,6 +1,11 @@
 // Which data centres are in service. Operations are idempotent: their ids are
 // kept permanently, so a delayed duplicate gets the original reply and changes
 // nothing.
+//
+// An operation whose sender chose no id of its own gets a numbered one, which
+// names the data centre and the count of operations that were applied to it.
+// Two operations that were numbered at the same count have the same id, so at
+// most one of them takes effect: a delayed one never undoes its successor.
 
 #ifndef FULMAR_CONTROLSTATE_DATACENTRETABLE_H
 #define FULMAR_CONTROLSTATE_DATACENTRETABLE_H
@@ -29,6 +34,13 @@
                           const data_centre_state &) = default;
 };
 
+/// Id of an operation on \p Name that takes effect only if exactly \p Number
+/// operations were applied to it before.
+std::string numberedOperationId(const std::string &Name, std::uint64_t Number);
+/// The number in the id; empty if the operation has an id of its own.
+std::optional<std::uint64_t>
+operationNumber(const data_centre_command &Operation);
+
 class data_centre_table {
 public:
   /// The original reply if the operation was applied before, or Conflict if its
@@ -45,6 +57,8 @@
     return States;
   }
   [[nodiscard]] std::size_t operations() const { return Operations.size(); }
+  /// Number of operations applied to a data centre.
+  [[nodiscard]] std::uint64_t operationsOf(const std::string &Name) const;
 
   [[nodiscard]] std::string encode() const;
   base::result<void> decode(std::string_view Encoded);
@@ -61,6 +75,8 @@
 
   std::map<std::string, data_centre_state> States;
   std::map<std::string, applied_operation> Operations;
+  /// Size of Operations by data centre; not encoded.
+  std::map<std::string, std::uint64_t> Counts;
 };
 
 } // namespace fulmar::controlstate
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t MaxNameBytes = 128;
+/// Operations on data centres are shorter: four names and a token's hash.
+constexpr std::size_t MaxOperationBytes = 1'024;
 
 /// Valid names have 1 to MaxNameBytes bytes and no control characters.
 bool isValidName(const std::string &Text) {
@@ -63,6 +65,22 @@
   return encodeReply(applyCommand(Position, Decoded.value()));
 }
 
+std::optional<std::string>
+control_state::outdatedReply(std::string_view Command) const {
+  if (Command.size() > MaxOperationBytes)
+    return std::nullopt;
+  const auto Decoded = decodeCommand(Command);
+  const auto *Operation =
+      Decoded ? std::get_if<data_centre_command>(&Decoded.value().Body)
+              : nullptr;
+  const auto Number = Operation ? operationNumber(*Operation) : std::nullopt;
+  if (!Number || *Number >= DataCentres.operationsOf(Operation->Name))
+    return std::nullopt;
+  return encodeReply(errorReply(base::error_kind::Conflict,
+                                "operation " + Operation->OperationId +
+                                    " was overtaken by another one"));
+}
+
 reply control_state::applyCommand(consensus::log_index Position,
                                   const command &Command) {
   Index = Position;
