Orders of unknown age are confirmed by their callers

Cause: a caller counts as connected until its close arrives. When the close is lost or held up together with the order, a woken instance that has caught up finds a caller, takes the present number and carries the order out.

Ruled out: dropping every order that was read after a stall (a caller that has just sent it would have to try elsewhere), an age in the order (callers send none).

Fix: an order that was read within 2 s after a stall of this process, or 500 ms or more after its connection began to wait for it, is answered 307 with a token in the address. Only a caller that still waits comes again; with the token the order was sent at most 500 ms ago, so that its number is taken while it is waited for. Orders that are read at once are carried out as before.

--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -1,6 +1,7 @@
 // Decisions of a control instance: retries of calls, leases, voter changes,
-// stalls.
+// stalls, confirmation of orders.
 
+#include "fulmar/controlnode/callerconfirmation.h"
 #include "fulmar/controlnode/callqueue.h"
 #include "fulmar/controlnode/livenesstable.h"
 #include "fulmar/controlnode/stallmonitor.h"
@@ -74,6 +75,42 @@
   CHECK_FALSE(Monitor.endedAt().has_value());
 }
 
+TEST_GROUP(Confirmation) {
+  caller_confirmation Confirmation;
+  const base::instant Now = at(60'000);
+};
+
+TEST(Confirmation, anOrderThatWasReadAtOnceNeedsNone) {
+  CHECK_FALSE(Confirmation.isNeeded({.Awaited = milliseconds(499)}, "", Now));
+  CHECK_FALSE(Confirmation.isNeeded({.StallEndedAt = at(58'000)}, "", Now));
+}
+
+TEST(Confirmation, anOrderOfUnknownAgeNeedsATokenOfThePresentTime) {
+  const order_age Old{.Awaited = milliseconds(500)};
+  const order_age Stalled{.StallEndedAt = at(59'500)};
+  for (const order_age &Age : {Old, Stalled}) {
+    CHECK_TRUE(Confirmation.isNeeded(Age, "", Now));
+    CHECK_TRUE(Confirmation.isNeeded(Age, "1-2", Now));
+    const std::string Token = Confirmation.issue(Now);
+    CHECK_FALSE(Confirmation.isNeeded(Age, Token, at(60'499)));
+    CHECK_TRUE(Confirmation.isNeeded(Age, Token, at(60'500)));
+    CHECK_TRUE(Confirmation.isNeeded(Age, "", at(60'499)));
+  }
+}
+
+TEST(Confirmation, ordersThatAreSentBackTogetherDoNotSpoilEachOther) {
+  const order_age Old{.Awaited = milliseconds(500)};
+  const std::string First = Confirmation.issue(Now);
+  Confirmation.issue(at(60'100));
+  CHECK_FALSE(Confirmation.isNeeded(Old, First, at(60'110)));
+}
+
+TEST(Confirmation, aTokenEndsWithAStall) {
+  const std::string Token = Confirmation.issue(Now);
+  CHECK_TRUE(
+      Confirmation.isNeeded({.StallEndedAt = at(60'100)}, Token, at(60'200)));
+}
+
 TEST_GROUP(Liveness) {
   controlstate::control_state State;
   liveness_table Table;
--- a/modules/eventloop/include/fulmar/eventloop/httpserver.h
+++ b/modules/eventloop/include/fulmar/eventloop/httpserver.h
@@ -20,6 +20,9 @@
   /// Path and query as sent.
   std::string Target;
   std::string Body;
+  /// Time from the accept of the connection, or from the answer before, until
+  /// the request was read.
+  base::duration Awaited{};
 
   friend auto operator<=>(const http_request &, const http_request &) = default;
 };
@@ -30,6 +33,8 @@
   std::string ContentType = "application/json";
   /// Value of Retry-After; none when empty.
   std::string RetryAfter;
+  /// Value of Location; none when empty.
+  std::string Location;
 
   friend auto operator<=>(const http_answer &, const http_answer &) = default;
 };
--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -31,13 +31,14 @@
   http_connection(loop &OwningLoop, tcp::socket Accepted,
                   const http_server_options &Chosen,
                   std::shared_ptr<const http_handler> Called)
-      : Socket(std::move(Accepted)), Options(Chosen),
+      : Loop(OwningLoop), Socket(std::move(Accepted)), Options(Chosen),
         Handler(std::move(Called)), Idle(OwningLoop) {
     tuneSocket(Socket);
   }
 
   void read() {
     Parser.emplace();
+    AwaitedSince = Loop.now();
     Parser->header_limit(static_cast<std::uint32_t>(Options.MaxHeaderBytes));
     Parser->body_limit(Options.MaxBodyBytes);
     Idle.after(Options.IdleLimit, [this] { close(); });
@@ -67,7 +68,8 @@
     const bool Keep = Message.keep_alive();
     http_request Request{.Method = std::string(Message.method_string()),
                          .Target = std::string(Message.target()),
-                         .Body = std::move(Message.body())};
+                         .Body = std::move(Message.body()),
+                         .Awaited = Loop.now() - AwaitedSince};
     const bool Handled = guarded("http", [&] {
       (*Handler)(std::move(Request),
                  {[Self = shared_from_this(), Keep](http_answer Answer) {
@@ -88,6 +90,8 @@
     Message.set(http::field::content_type, Answer.ContentType);
     if (!Answer.RetryAfter.empty())
       Message.set(http::field::retry_after, Answer.RetryAfter);
+    if (!Answer.Location.empty())
+      Message.set(http::field::location, Answer.Location);
     Message.keep_alive(Keep);
     Message.body() = std::move(Answer.Body);
     Message.prepare_payload();
@@ -123,11 +127,13 @@
     Socket.close(Ignored);
   }
 
+  loop &Loop;
   tcp::socket Socket;
   http_server_options Options;
   std::shared_ptr<const http_handler> Handler;
   timer Idle;
   beast::flat_buffer Buffer;
+  base::instant AwaitedSince{};
   bool Answered = false;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::unique_ptr<http::response<http::string_body>> Outgoing;
