Call queue: a call whose time is over is not sent again

Cause: takeDue() looked at no deadline. An instance that wakes after a freeze sends its pending calls again if something else attempts calls before its next tick ends them: up to the length of the freeze after its caller was told, or found out, that the outcome is unknown.

Orders are protected by their numbers, plans, reports and departures by version, sequence and start; this keeps calls from being late at all.

Test: CallQueue.aCallWhoseTimeIsOverIsNotSentAgain fails before ('expected <0>' calls at 8,000 ms of a call that ends at 900 ms) and passes now.

--- a/modules/controlnode/internal/callqueue.cpp
+++ b/modules/controlnode/internal/callqueue.cpp
@@ -27,7 +27,8 @@
 std::vector<due_call> call_queue::takeDue(base::instant Now) {
   std::vector<due_call> Due;
   for (auto &[Id, Call] : Calls) {
-    if (Call.DueAt > Now)
+    // expire() ends a call whose deadline has passed.
+    if (Call.DueAt > Now || Call.Deadline <= Now)
       continue;
     Call.DueAt = Now + RetryInterval;
     Due.push_back({Id, Call.Call, Call.Command});
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -58,6 +58,18 @@
   CHECK_EQUAL(0U, Calls.size());
 }
 
+// Guards against a call that a woken instance sends again although its time is
+// over and its caller went elsewhere.
+TEST(CallQueue, aCallWhoseTimeIsOverIsNotSentAgain) {
+  add(900);
+  CHECK_EQUAL(1U, Calls.takeDue(at(0)).size());
+  CHECK_EQUAL(0U, Calls.takeDue(at(8'000)).size());
+  Calls.retryAll(at(8'000));
+  CHECK_EQUAL(0U, Calls.takeDue(at(8'000)).size());
+  end(Calls.expire(at(8'000)));
+  CHECK_EQUAL(1, Ended);
+}
+
 TEST_GROUP(Stalls) { stall_monitor Monitor; };
 
 TEST(Stalls, aTurnAfterALongPauseEndsAStall) {
