Call queue: ids of calls differ between runs of an instance

Cause: the ids began at 1 with each start, and a reply names only the id of its call. A reply to a call of the run before, delayed past a restart, finished the new call with that id: an order could be acknowledged that was not committed. The review suspected this by reading; no run has shown it.

Fix: the ids begin at a random multiple of 2^32. The messages stay as they are.

Test: CallQueue.aReplyToACallOfAnEarlierRunFinishesNothing fails before (1 call ended) and passes now.

--- a/modules/controlnode/include/fulmar/controlnode/callqueue.h
+++ b/modules/controlnode/include/fulmar/controlnode/callqueue.h
@@ -41,6 +41,8 @@
   static constexpr base::duration RetryInterval =
       std::chrono::milliseconds(300);
 
+  call_queue();
+
   std::uint64_t add(fleetlink::leader_call Call, std::string Command,
                     base::instant Deadline, call_handler Handler);
 
@@ -71,7 +73,9 @@
   };
 
   std::map<std::uint64_t, call> Calls;
-  std::uint64_t NextId = 1;
+  /// Begins at random: a reply names only the id, and one to a call of an
+  /// earlier run of this instance may still arrive.
+  std::uint64_t NextId;
 };
 
 } // namespace fulmar::controlnode
--- a/modules/controlnode/internal/callqueue.cpp
+++ b/modules/controlnode/internal/callqueue.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmar/controlnode/callqueue.h"
 
+#include <random>
 #include <utility>
 
 namespace fulmar::controlnode {
@@ -13,6 +14,10 @@
 
 } // namespace
 
+// The upper half, so that the ids of two runs lie far apart.
+call_queue::call_queue()
+    : NextId(std::uint64_t(std::random_device()()) << 32U) {}
+
 std::uint64_t call_queue::add(fleetlink::leader_call Call, std::string Command,
                               base::instant Deadline, call_handler Handler) {
   const std::uint64_t Id = NextId++;
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -70,6 +70,18 @@
   CHECK_EQUAL(1, Ended);
 }
 
+// Guards against a reply to a call of the run before a restart that is taken
+// for the reply to a new call: replies name only the call's number.
+TEST(CallQueue, aReplyToACallOfAnEarlierRunFinishesNothing) {
+  call_queue Earlier;
+  const auto Old = Earlier.add(fleetlink::leader_call::Propose, "old",
+                               at(5'000), [](const call_result &) {});
+  add(5'000);
+  end(Calls.finish(Old, std::string("done")));
+  CHECK_EQUAL(0, Ended);
+  CHECK_EQUAL(1U, Calls.size());
+}
+
 TEST_GROUP(Stalls) { stall_monitor Monitor; };
 
 TEST(Stalls, aTurnAfterALongPauseEndsAStall) {
