Leases: a leader that stood still grants them anew

Cause: leases count from the last report that was read. A leader that wakes after more than the lease, still or again leader, proposes to expire every target and entry whose reports lie unread in its sockets; the commands name the reports that are stored, which change only with a target's state, so they apply. Each target is then missing until its next heartbeat.

Found by reading, as a command of a control instance's own that is out of date when it wakes. Ruled out as affected: changes of voters and proposals at a woken leader, which first steps down without a recent quorum (stepDownWithoutQuorum), and the replicated clock, which never goes back and advances by at most 60 s a command.

Fix: leases start at the end of the last stall at the earliest.

Test: Liveness.aStalledLeaderGrantsAllLeasesAnew fails without it (one expiry 500 ms after a stall of 29 s) and passes now.

--- a/modules/controlnode/include/fulmar/controlnode/livenesstable.h
+++ b/modules/controlnode/include/fulmar/controlnode/livenesstable.h
@@ -1,6 +1,7 @@
 // Tracks when targets and entries were last heard from, and determines which of
 // them the leader should expire. Leases start at the leader's election at the
-// earliest, because a new leader doesn't know what others received before.
+// earliest, because a new leader doesn't know what others received before, and
+// at the end of its last stall, because what came in meanwhile is not yet read.
 
 #ifndef FULMAR_CONTROLNODE_LIVENESSTABLE_H
 #define FULMAR_CONTROLNODE_LIVENESSTABLE_H
@@ -36,7 +37,9 @@
   void recordEntryHeartbeat(const std::string &Id, base::instant Now);
   /// Records that a connection of the entry was closed.
   void recordEntryDisconnect(const std::string &Id);
-  void becomeLeader(base::instant Now) { LeaderSince = Now; }
+  void becomeLeader(base::instant Now) { LeasesSince = Now; }
+  /// Records that a stall of this instance ended.
+  void recordStall(base::instant EndedAt) { LeasesSince = EndedAt; }
 
   /// Returns the targets that reported to this instance since the last call.
   std::vector<std::string> takeReportedTargets();
@@ -64,7 +67,7 @@
   std::map<std::string, entry_record> Entries;
   /// Time at which a command was last proposed, by its kind and id.
   std::map<std::string, base::instant> ProposedAt;
-  base::instant LeaderSince{};
+  base::instant LeasesSince{};
 };
 
 } // namespace fulmar::controlnode
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -128,6 +128,7 @@
   const auto Stall = Stalls.recordTurn(Loop.now());
   if (!Stall)
     return;
+  Liveness.recordStall(Loop.now());
   Metrics.counterOf("fulmar_control_stalls_total").add();
   telemetry::logChange(
       telemetry::log_level::Warning, "control", "stalled",
--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -69,8 +69,8 @@
       continue;
     const auto Heard = TargetHeardAt.find(Id);
     const base::instant Last =
-        std::max(LeaderSince,
-                 Heard == TargetHeardAt.end() ? LeaderSince : Heard->second);
+        std::max(LeasesSince,
+                 Heard == TargetHeardAt.end() ? LeasesSince : Heard->second);
     if (Now - Last > TargetLease && !wasProposedRecently("target/" + Id, Now))
       Due.emplace_back(controlstate::target_expired_command{
           Id, Held.StartedAtMs, Held.Sequence});
@@ -88,8 +88,8 @@
   for (const auto &[Id, Report] : Members) {
     const auto Heard = Entries.find(Id);
     const base::instant Last = std::max(
-        LeaderSince,
-        Heard == Entries.end() ? LeaderSince : Heard->second.LastHeardAt);
+        LeasesSince,
+        Heard == Entries.end() ? LeasesSince : Heard->second.LastHeardAt);
     if (Now - Last > EntryLease && !wasProposedRecently("expire/" + Id, Now))
       Due.emplace_back(
           controlstate::member_expired_command{Id, Report.Incarnation});
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -182,6 +182,18 @@
   CHECK_EQUAL(1U, Table.dueCommands(State, at(10'500)).size());
 }
 
+// Guards against a leader that wakes from a long stall and expires the targets
+// and entries whose reports it has not read.
+TEST(Liveness, aStalledLeaderGrantsAllLeasesAnew) {
+  apply(controlstate::target_report_command{
+      {.Id = "t", .Address = "a:1", .StartedAtMs = 1, .Sequence = 1}});
+  Table.becomeLeader(at(0));
+  Table.recordTargetReport("t", at(1'000));
+  Table.recordStall(at(30'000));
+  CHECK_EQUAL(0U, Table.dueCommands(State, at(30'500)).size());
+  CHECK_EQUAL(1U, Table.dueCommands(State, at(50'500)).size());
+}
+
 TEST_GROUP(Voters) {
   voter_policy Policy;
   consensus::configuration Members{
