--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -150,6 +150,10 @@
     bool Attempted = false;
   };
   void attemptOrder(pending_order Pending);
+  /// Answers an order that an instance of an earlier version sends right after
+  /// it stood still: it may be old, and its id does not tell. Returns whether
+  /// it was one.
+  bool refusesOldOrder(const fleetlink::call_request &Request);
   void onOrderReply(pending_order Pending,
                     const base::result<controlstate::reply> &Reply);
   /// Attempts the overtaken orders whose successor is applied here by now, and
@@ -197,6 +201,9 @@
   /// Overtaken orders that wait until this instance knows their successor.
   std::vector<pending_order> OvertakenOrders;
   base::stall_monitor Stalls;
+  /// Stalls of other control instances, by the times of their messages. Cuts
+  /// of their links count too.
+  std::map<std::string, base::stall_monitor> PeerStalls;
   /// Serial of each data centre's last logged change.
   std::map<std::string, std::uint64_t> LoggedSerials;
   liveness_table Liveness;
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -140,6 +140,7 @@
 void control_node::handle(const link_ptr & /*Link*/,
                           const fleetlink::log_message &Message) {
   Voters.recordContact(Message.From, Loop.now());
+  PeerStalls[Message.From].recordTurn(Loop.now());
   Log->deliver(Message.From, Message.Bytes, Loop.now());
   dial(Message.From);
   scheduleFlush();
@@ -159,6 +160,9 @@
 
 void control_node::handle(const link_ptr & /*Link*/,
                           const fleetlink::call_request &Request) {
+  PeerStalls[Request.From].recordTurn(Loop.now());
+  if (refusesOldOrder(Request))
+    return;
   executeLocally(
       Request.Call, Request.Command,
       [this, From = Request.From, Id = Request.Id](const call_result &Result) {
--- a/modules/controlnode/internal/controlorders.cpp
+++ b/modules/controlnode/internal/controlorders.cpp
@@ -78,6 +78,29 @@
           });
 }
 
+bool control_node::refusesOldOrder(const fleetlink::call_request &Request) {
+  const auto StallEnd = PeerStalls[Request.From].endedAt();
+  const bool AfterStall =
+      StallEnd && Loop.now() - *StallEnd < base::stall_monitor::ReadTime;
+  if (!AfterStall || !IsLeader ||
+      Request.Call != fleetlink::leader_call::Propose ||
+      !controlstate::control_state::isUnnumberedOperation(Request.Command))
+    return false;
+  Metrics.counterOf("fulmar_control_orders_dropped_total").add();
+  telemetry::logChange(telemetry::log_level::Warning, "control",
+                       "old-order-refused", {{"from", Request.From}});
+  // A refusal as the replicated state would give it: the instance passes it on
+  // to the caller at once instead of trying again.
+  sendTo(Request.From,
+         fleetlink::call_reply{
+             .Id = Request.Id,
+             .Succeeded = true,
+             .Reply = controlstate::encodeReply(controlstate::error_reply{
+                 {base::error_kind::Conflict,
+                  "the instance stood still; the order may be old"}})});
+  return true;
+}
+
 void control_node::onOrderReply(
     pending_order Pending, const base::result<controlstate::reply> &Reply) {
   if (stepAfter(Reply) != order_step::NumberAgain)
--- a/modules/controlnode/tests/orders_tests.cpp
+++ b/modules/controlnode/tests/orders_tests.cpp
@@ -241,6 +241,37 @@
   CHECK_TRUE(isIn());
 }
 
+// Guards against an order that a frozen instance of an earlier version held:
+// its id does not tell that it is old, its silence before does.
+TEST(Orders, theLeaderTakesNoUnnumberedOrderFromAnInstanceThatStoodStill) {
+  formCluster();
+  const std::string Earlier = test_cluster::address(7);
+  eventloop::frame_dialer Dialer(
+      Cluster.loop(), {.Address = test_cluster::address(leader())}, {});
+  CHECK_TRUE(Cluster.runUntil([&Dialer] { return Dialer.connected(); }));
+  const auto Send = [&](const std::string &Id, data_centre_action Action) {
+    Dialer.send(fleetlink::encodeLinkMessage(
+        fleetlink::call_request{.From = Earlier,
+                                .Id = 1,
+                                .Call = fleetlink::leader_call::Propose,
+                                .Command = controlstate::encodeCommand(
+                                    {.WallMs = 1,
+                                     .Body = controlstate::data_centre_command{
+                                         .OperationId = Id,
+                                         .Name = "pos",
+                                         .Action = Action,
+                                         .Author = "operator",
+                                         .Proof = {.Administrator = true}}})}));
+  };
+  Send("123-1", data_centre_action::Leave);
+  CHECK_TRUE(Cluster.runUntil([this] { return !isIn(); }));
+  CHECK_FALSE(Cluster.runUntil([] { return false; },
+                               base::stall_monitor::Threshold * 2));
+  Send("123-2", data_centre_action::Return);
+  CHECK_FALSE(Cluster.runUntil([this] { return isIn(); },
+                               std::chrono::milliseconds(300)));
+}
+
 TEST(Orders, aReplyToAnEarlierOperationIsNoAcknowledgement) {
   using controlstate::data_centre_reply;
   CHECK_TRUE(stepAfter(controlstate::reply(data_centre_reply{})) ==
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -53,6 +53,11 @@
   [[nodiscard]] std::optional<std::string>
   outdatedReply(std::string_view Command) const;
 
+  /// Whether the command is an operation on a data centre with an id of its
+  /// own. Control instances of an earlier version send their operators' orders
+  /// so.
+  [[nodiscard]] static bool isUnnumberedOperation(std::string_view Command);
+
   /// Like apply(), but takes and returns decoded values.
   reply applyCommand(consensus::log_index Index, const command &Command);
 
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -47,6 +47,19 @@
               static_cast<std::size_t>(Policy.SickTargetRequests)};
 }
 
+/// Empty if the command is none.
+std::optional<data_centre_command> operationIn(std::string_view Command) {
+  if (Command.size() > MaxOperationBytes)
+    return std::nullopt;
+  auto Decoded = decodeCommand(Command);
+  auto *Operation =
+      Decoded ? std::get_if<data_centre_command>(&Decoded.value().Body)
+              : nullptr;
+  if (Operation == nullptr)
+    return std::nullopt;
+  return std::move(*Operation);
+}
+
 reply errorReply(base::error_kind Kind, std::string Message) {
   return error_reply{{Kind, std::move(Message)}};
 }
@@ -67,12 +80,7 @@
 
 std::optional<std::string>
 control_state::outdatedReply(std::string_view Command) const {
-  if (Command.size() > MaxOperationBytes)
-    return std::nullopt;
-  const auto Decoded = decodeCommand(Command);
-  const auto *Operation =
-      Decoded ? std::get_if<data_centre_command>(&Decoded.value().Body)
-              : nullptr;
+  const auto Operation = operationIn(Command);
   const auto Number = Operation ? operationNumber(*Operation) : std::nullopt;
   if (!Number || *Number >= DataCentres.operationsOf(Operation->Name))
     return std::nullopt;
@@ -81,6 +89,11 @@
                                     " was overtaken by another one"));
 }
 
+bool control_state::isUnnumberedOperation(std::string_view Command) {
+  const auto Operation = operationIn(Command);
+  return Operation && !operationNumber(*Operation);
+}
+
 reply control_state::applyCommand(consensus::log_index Position,
                                   const command &Command) {
   Index = Position;
