--- a/modules/consensus/include/fulmar/consensus/replicatedlog.h
+++ b/modules/consensus/include/fulmar/consensus/replicatedlog.h
@@ -36,8 +36,8 @@
   /// before \p Now is applied here and a quorum has confirmed that this
   /// instance was still leader after \p Now.
   base::result<ticket> read(base::instant Now);
-  /// Tells the other instances the commit index at once, if this instance leads,
-  /// instead of with the next heartbeat.
+  /// Tells the other instances the commit index at once, if this instance
+  /// leads, instead of with the next heartbeat.
   void announceCommit(base::instant Now) { Replica->requestProof(Now); }
   /// Processes a message from another instance. Malformed messages are ignored.
   void deliver(const replica_id &From, std::string_view Bytes,
