--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -133,6 +133,14 @@
   void handle(const link_ptr & /*Link*/, const fleetlink::fetch_reply &) {}
   void handle(const link_ptr & /*Link*/, const fleetlink::log_position &) {}
   void handle(const link_ptr & /*Link*/, const fleetlink::notification_ack &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::capabilities &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::proof_reply &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::allotment_holder &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::allotment_reply &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::proof_request &) {}
+  void handle(const link_ptr & /*Link*/, const fleetlink::allotment_request &) {
+  }
+  void handle(const link_ptr & /*Link*/, const fleetlink::rollout_evidence &) {}
 
   void dial(const std::string &Address);
   void tick();
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -53,6 +53,7 @@
   Link->send(fleetlink::encodeLinkMessage(
       fleetlink::control_plane_members{Options.DataCentre, memberAddresses()}));
   Link->send(fleetlink::encodeLinkMessage(logPosition()));
+  Link->send(fleetlink::encodeLinkMessage(fleetlink::capabilities{}));
 }
 
 void control_node::onAcceptedFrame(const link_ptr &Link,
--- a/modules/fleet/include/fulmar/fleet/fleetpacking.h
+++ b/modules/fleet/include/fulmar/fleet/fleetpacking.h
@@ -4,6 +4,7 @@
 #define FULMAR_FLEET_FLEETPACKING_H
 
 #include "fulmar/claims/packing.h"
+#include "fulmar/fleet/account.h"
 #include "fulmar/fleet/routingplan.h"
 #include "fulmar/fleet/targetreport.h"
 
@@ -34,6 +35,13 @@
 inline auto fieldsOf(routing_plan &Item) {
   return std::tie(Item.Version, Item.Limits, Item.Routes, Item.Services);
 }
+inline auto fieldsOf(account &Item) {
+  return std::tie(Item.Name, Item.Keys, Item.Priority, Item.RequestsPerSecond,
+                  Item.Burst);
+}
+inline auto fieldsOf(account_header &Item) {
+  return std::tie(Item.Version, Item.AccountCount, Item.PublicRoutes);
+}
 inline auto fieldsOf(target_report &Item) {
   return std::tie(Item.Id, Item.Service, Item.DataCentre, Item.Address,
                   Item.Software, Item.Slots, Item.Phase, Item.StartedAtMs,
--- /dev/null
+++ b/modules/fleet/internal/account.cpp
@@ -0,0 +1,76 @@
+// Checks and encoding of accounts.
+
+#include "fulmar/fleet/account.h"
+
+#include "fulmar/fleet/fleetpacking.h"
+
+#include <cmath>
+#include <map>
+#include <set>
+
+namespace fulmar::fleet {
+
+namespace {
+
+base::error invalid(std::string Message) {
+  return {base::error_kind::InvalidDocument, std::move(Message)};
+}
+
+/// A limit of a quota: zero for none, never negative or infinite.
+bool isLimit(double Value) { return std::isfinite(Value) && Value >= 0; }
+
+/// Control characters would end or split the header that names the account.
+bool isHeaderValue(const std::string &Text) {
+  constexpr char FirstPrintable = ' ';
+  constexpr char Delete = '\x7f';
+  for (const char Character : Text) {
+    if ((Character >= 0 && Character < FirstPrintable) || Character == Delete)
+      return false;
+  }
+  return Text.front() != ' ' && Text.back() != ' ';
+}
+
+} // namespace
+
+base::result<void> checkAccounts(const account_set &Accounts) {
+  std::set<std::string> Names;
+  std::map<std::string, std::string> OwnerOfKey;
+  for (const account &Account : Accounts.Accounts) {
+    if (Account.Name.empty())
+      return invalid("an account has no name");
+    if (!isHeaderValue(Account.Name))
+      return invalid("an account's name is not printable");
+    if (!Names.insert(Account.Name).second)
+      return invalid("two accounts are named '" + Account.Name + "'");
+    if (!isLimit(Account.RequestsPerSecond) || !isLimit(Account.Burst))
+      return invalid("account '" + Account.Name +
+                     "' has a rate or burst that is no limit");
+    for (const std::string &Key : Account.Keys) {
+      if (Key.empty())
+        return invalid("account '" + Account.Name + "' has an empty key");
+      const auto [Owner, Added] = OwnerOfKey.emplace(Key, Account.Name);
+      if (!Added && Owner->second != Account.Name)
+        return invalid("accounts '" + Owner->second + "' and '" + Account.Name +
+                       "' share a key");
+    }
+  }
+  return base::success();
+}
+
+std::string encodeAccount(const account &Account) {
+  return claims::packValue(Account);
+}
+
+base::result<account> decodeAccount(std::string_view Bytes) {
+  return claims::unpackValue<account>(Bytes);
+}
+
+std::string encodeAccountHeader(const account_header &Header) {
+  return claims::packValue(Header);
+}
+
+base::result<account_header> decodeAccountHeader(std::string_view Bytes) {
+  return claims::unpackValue<account_header>(Bytes);
+}
+
+} // namespace fulmar::fleet
--- a/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
+++ b/modules/fleetlink/include/fulmar/fleetlink/linkmessages.h
@@ -155,11 +155,118 @@
                           const target_liveness &) = default;
 };
 
+/// Sent by a control instance when it accepts a link. An entry sends the
+/// messages below only on links on which it has received this one: earlier
+/// versions close a link on which they receive an unknown message.
+struct capabilities {
+  std::uint32_t Level = 1;
+
+  friend auto operator<=>(const capabilities &, const capabilities &) = default;
+};
+
+/// Asks a control instance how recent its state is.
+struct proof_request {
+  /// Assigned by the sender, which remembers when it sent the request.
+  std::uint64_t Nonce = 0;
+
+  friend auto operator<=>(const proof_request &,
+                          const proof_request &) = default;
+};
+
+struct proof_reply {
+  std::uint64_t Nonce = 0;
+  publication::serial Latest = 0;
+  /// Time since a quorum last confirmed this state; negative if it never did.
+  std::int64_t ProofAgeMs = -1;
+
+  friend auto operator<=>(const proof_reply &, const proof_reply &) = default;
+};
+
+/// The sender grants the quotas of accounts for now.
+struct allotment_holder {
+  /// Higher terms replace lower ones.
+  std::uint64_t Term = 0;
+
+  friend auto operator<=>(const allotment_holder &,
+                          const allotment_holder &) = default;
+};
+
+struct allotment_demand {
+  std::string Account;
+  std::uint32_t Count = 0;
+
+  friend auto operator<=>(const allotment_demand &,
+                          const allotment_demand &) = default;
+};
+
+/// Asks the holder for tokens.
+struct allotment_request {
+  /// Assigned by the sender, which remembers when it sent the request.
+  std::uint64_t Id = 0;
+  std::vector<allotment_demand> Demands;
+
+  friend auto operator<=>(const allotment_request &,
+                          const allotment_request &) = default;
+};
+
+struct allotment_grant {
+  std::string Account;
+  /// At most the count of the demand.
+  std::uint32_t Granted = 0;
+  /// Time until the next token; meaningful if less was granted than asked.
+  std::int64_t RetryAfterMs = 0;
+  /// The holder has started so lately that it may refuse what is owed.
+  bool Starting = false;
+
+  friend auto operator<=>(const allotment_grant &,
+                          const allotment_grant &) = default;
+};
+
+struct allotment_reply {
+  std::uint64_t Id = 0;
+  /// False if the sender is not the holder; Grants is then empty.
+  bool Holder = false;
+  std::vector<allotment_grant> Grants;
+
+  friend auto operator<=>(const allotment_reply &,
+                          const allotment_reply &) = default;
+};
+
+/// Requests of one route that ended at the old or the new version.
+struct rollout_counts {
+  std::string Route;
+  bool NewVersion = false;
+  std::uint32_t Requests = 0;
+  std::uint32_t Failures = 0;
+  std::int64_t TotalMs = 0;
+
+  friend auto operator<=>(const rollout_counts &,
+                          const rollout_counts &) = default;
+};
+
+/// What an entry has seen of a roll-out since its last report.
+struct rollout_evidence {
+  std::string Service;
+  /// Serial of the order that started the roll-out.
+  std::uint64_t Order = 0;
+  /// Number of the phase that the entry applies.
+  std::uint32_t Phase = 0;
+  /// Requests that the entry still has at targets of the old version.
+  std::uint32_t AtOldVersion = 0;
+  std::vector<rollout_counts> Counts;
+
+  friend auto operator<=>(const rollout_evidence &,
+                          const rollout_evidence &) = default;
+};
+
+/// The index of an alternative is part of the encoding.
 using link_message =
     std::variant<entry_status, fetch_request, fetch_reply, log_position,
                  crash_notification, log_message, join_request, call_request,
                  call_reply, target_liveness, entry_heartbeat,
-                 control_plane_members, notification_ack, answer_notification>;
+                 control_plane_members, notification_ack, answer_notification,
+                 capabilities, proof_request, proof_reply, allotment_holder,
+                 allotment_request, allotment_reply, rollout_evidence>;
 
 std::string encodeLinkMessage(const link_message &Message);
 /// Fails with BadRequest on malformed bytes.
--- a/modules/fleetlink/internal/linkmessages.cpp
+++ b/modules/fleetlink/internal/linkmessages.cpp
@@ -45,6 +45,32 @@
                   Item.Reply);
 }
 static auto fieldsOf(target_liveness &Item) { return std::tie(Item.Targets); }
+static auto fieldsOf(capabilities &Item) { return std::tie(Item.Level); }
+static auto fieldsOf(proof_request &Item) { return std::tie(Item.Nonce); }
+static auto fieldsOf(proof_reply &Item) {
+  return std::tie(Item.Nonce, Item.Latest, Item.ProofAgeMs);
+}
+static auto fieldsOf(allotment_holder &Item) { return std::tie(Item.Term); }
+static auto fieldsOf(allotment_demand &Item) {
+  return std::tie(Item.Account, Item.Count);
+}
+static auto fieldsOf(allotment_request &Item) {
+  return std::tie(Item.Id, Item.Demands);
+}
+static auto fieldsOf(allotment_grant &Item) {
+  return std::tie(Item.Account, Item.Granted, Item.RetryAfterMs, Item.Starting);
+}
+static auto fieldsOf(allotment_reply &Item) {
+  return std::tie(Item.Id, Item.Holder, Item.Grants);
+}
+static auto fieldsOf(rollout_counts &Item) {
+  return std::tie(Item.Route, Item.NewVersion, Item.Requests, Item.Failures,
+                  Item.TotalMs);
+}
+static auto fieldsOf(rollout_evidence &Item) {
+  return std::tie(Item.Service, Item.Order, Item.Phase, Item.AtOldVersion,
+                  Item.Counts);
+}
 static constexpr leader_call lastOf(leader_call /*Kind*/) {
   return leader_call::ReadDocument;
 }
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -53,6 +53,8 @@
     publication::serial Latest = 0;
     /// A quorum has recently confirmed the instance's state.
     bool QuorumConfirmed = false;
+    /// The instance knows the messages that fleetlink::capabilities announces.
+    bool Capable = false;
   };
 
   void connect(const std::string &Address);
--- a/modules/gateway/include/fulmar/gateway/headernames.h
+++ b/modules/gateway/include/fulmar/gateway/headernames.h
@@ -32,6 +32,9 @@
   std::string TargetId;
   /// Response to a probe: milliseconds until the target is warm.
   std::string RemainingWarmUp;
+  /// Request: name of the account whose key the caller has sent. Set by the
+  /// gateway alone.
+  std::string Account;
 
   friend auto operator<=>(const header_names &, const header_names &) = default;
 };
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -74,6 +74,7 @@
                                      "control-lost", {{"control", Address}});
                 Links[Address].Latest = 0;
                 Links[Address].QuorumConfirmed = false;
+                Links[Address].Capable = false;
                 // The reply to a pending fetch is lost with the link.
                 if (FetchedFrom == Address)
                   FetchPending = false;
@@ -97,6 +98,8 @@
   else if (const auto *Reply =
                std::get_if<fleetlink::fetch_reply>(&Message.value()))
     handle(*Reply);
+  else if (std::holds_alternative<fleetlink::capabilities>(Message.value()))
+    Links[From].Capable = true;
   else if (const auto *Receipt =
                std::get_if<fleetlink::notification_ack>(&Message.value()))
     Reports.confirm(Receipt->Id);
--- a/modules/publication/include/fulmar/publication/publisheditems.h
+++ b/modules/publication/include/fulmar/publication/publisheditems.h
@@ -39,6 +39,14 @@
 /// changed route is sent to the entries as that route only.
 inline constexpr const char *RoutePrefix = "plan-route/";
 
+/// Complete key of the fleet::account_header. Present only if the plan has
+/// accounts or an earlier one had them.
+inline constexpr const char *AccountHeaderKey = "accounts";
+/// The value is a fleet::account.
+inline constexpr const char *AccountPrefix = "account/";
+/// Followed by the name of a service that has a roll-out.
+inline constexpr const char *RolloutPrefix = "rollout/";
+
 struct item {
   std::string Key;
   serial Serial = 0;
