Probe budget: holds over any span of 28 s and across restarts

Cause: the bucket held 15 s of its refill rate and was full at the start, so all entries together sent up to (12 + 0.8 T) / T of the limit over T seconds, above it for any load shorter than a minute, and a restart filled the bucket again. Ruled out: health requests that keep connections open, a few per connection and idle period. Now: 6 s of the rate, and one second of it at the start. Both new tests fail on the code before.

--- a/modules/placement/include/fulmar/placement/probebudget.h
+++ b/modules/placement/include/fulmar/placement/probebudget.h
@@ -10,6 +10,7 @@
 #include "fulmar/base/time.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace fulmar::placement {
 
@@ -28,7 +29,8 @@
   /// Probes per second that this entry may send.
   double Rate = 0;
   double Tokens = 0;
-  base::instant RefilledAt{};
+  /// Empty until the first call of take().
+  std::optional<base::instant> RefilledAt;
 };
 
 } // namespace fulmar::placement
--- a/modules/placement/internal/probebudget.cpp
+++ b/modules/placement/internal/probebudget.cpp
@@ -9,9 +9,13 @@
 /// Fraction of the limit that is used, because requests are not distributed
 /// equally over the entries.
 constexpr double UsedShare = 0.8;
-/// Size of the token bucket, in seconds of its refill rate. The limit applies
-/// to the long-term average, and probes are most useful during surges.
-constexpr double BurstSeconds = 15;
+/// Size of the token bucket, in seconds of its refill rate: probes are most
+/// useful during surges. With UsedShare and InitialSeconds, the limit holds over
+/// any span of 28 s.
+constexpr double BurstSeconds = 6;
+/// What an entry that has just started has, in seconds of its refill rate. A
+/// full bucket would let entries exceed the limit by restarting.
+constexpr double InitialSeconds = 1;
 /// Probes per second that are always allowed: enough for a request while no
 /// target is known.
 constexpr double MinRate = 5;
@@ -27,9 +31,11 @@
 
 std::size_t probe_budget::take(std::size_t Wanted, base::instant Now) {
   constexpr double MicrosPerSecond = 1e6;
-  // RefilledAt is initially the epoch, so the first call fills the bucket.
+  if (!RefilledAt)
+    Tokens = Rate * InitialSeconds;
   const double Elapsed =
-      static_cast<double>((Now - RefilledAt).count()) / MicrosPerSecond;
+      static_cast<double>((Now - RefilledAt.value_or(Now)).count()) /
+      MicrosPerSecond;
   Tokens = std::min(Rate * BurstSeconds, Tokens + Elapsed * Rate);
   RefilledAt = Now;
   const auto Taken =
--- a/modules/placement/tests/limits_tests.cpp
+++ b/modules/placement/tests/limits_tests.cpp
@@ -150,6 +150,7 @@
 TEST(ProbeBudget, aSurgeUsesSavedTokens) {
   probe_budget Budget(60);
   Budget.setFleetSize(30, 20);
+  CHECK_EQUAL(0U, Budget.take(0, at(0)));
   CHECK_EQUAL(5U, Budget.take(5, at(20'000)));
   std::size_t Taken = 0;
   for (std::int64_t Ms = 20'000; Ms < 25'000; Ms += 5)
@@ -168,3 +169,46 @@
     Taken += Budget.take(5, at(Ms));
   CHECK_TRUE(Taken * 20 <= Seconds * 60 * 30);
 }
+
+// Guards against probes above the limit over a whole run of seconds: entries
+// that save up tokens, or start with them, exceed it together.
+TEST(ProbeBudget, anyLongSpanOfAllEntriesStaysBelowTheLimit) {
+  constexpr double Limit = 60;
+  constexpr std::size_t Targets = 29;
+  constexpr std::size_t Entries = 18;
+  constexpr std::int64_t StepMs = 50;
+  constexpr std::int64_t IdleMs = 20'000;
+  constexpr std::int64_t EndMs = 80'000;
+  std::vector<probe_budget> Budgets(Entries, probe_budget(Limit));
+  std::vector<std::size_t> PerStep;
+  for (std::int64_t Ms = 0; Ms < EndMs; Ms += StepMs) {
+    std::size_t Taken = 0;
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
+      // Each entry restarts every 12 s, at a time of its own.
+      const bool Restarts =
+          (Ms + static_cast<std::int64_t>(Entry) * 600) % 12'000 == 0;
+      if (Restarts)
+        Budgets[Entry] = probe_budget(Limit);
+      Budgets[Entry].setFleetSize(Targets, Entries);
+      Taken += Budgets[Entry].take(Ms < IdleMs ? 0 : 1'000, at(Ms));
+    }
+    PerStep.push_back(Taken);
+  }
+  constexpr std::size_t SpanSteps = 28'000 / StepMs;
+  for (std::size_t First = 0; First + SpanSteps <= PerStep.size(); ++First) {
+    std::size_t Sum = 0;
+    for (std::size_t Step = First; Step < First + SpanSteps; ++Step)
+      Sum += PerStep[Step];
+    CHECK_TRUE(static_cast<double>(Sum) <= Limit * Targets * 28);
+  }
+}
+
+// Guards against a full bucket at the start: the demand comes before the entry
+// has run long enough to save up for it.
+TEST(ProbeBudget, aStartingEntryHasSavedOneSecond) {
+  probe_budget Budget(60);
+  Budget.setFleetSize(30, 20);
+  // A second at 72 per second, then a tenth of one.
+  CHECK_TRUE(Budget.take(1'000, at(50'000)) <= 72);
+  CHECK_TRUE(Budget.take(1'000, at(50'100)) <= 8);
+}
