Client accounts: keys, the account's header, proofs of recency

Asked for by deployments whose configuration has tenants. Entries look keys up by a seeded hash, set the account's header, never pass a key on, and answer 401 only from a view that is proved to be recent. Where revocation is strict, a known key needs a proof younger than 95 % of the limit; proofs are dated from the question, because a message that only arrives may have waited while the entry was suspended. Ruled out: proofs from log_position alone (one way), fields added to the plan's messages (old builds decode strictly).

--- a/modules/base/include/fulmar/base/baseerrors.h
+++ b/modules/base/include/fulmar/base/baseerrors.h
@@ -48,11 +48,16 @@
   StorageFull,
   Corrupt,
   Internal,
+  // Client accounts; nothing was run. The kinds above keep their numbers, which
+  // are sent between instances.
+  UnknownKey,
+  UnprovedKey,
+  QuotaExceeded,
 };
 
-/// Number of error kinds; the last one is Internal.
+/// Number of error kinds; the last one is QuotaExceeded.
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(error_kind::Internal) + 1;
+    static_cast<std::size_t>(error_kind::QuotaExceeded) + 1;
 
 /// States whether any target may have executed the request.
 enum class execution : std::uint8_t { NotRun, Unknown };
--- a/modules/base/internal/baseerrors.cpp
+++ b/modules/base/internal/baseerrors.cpp
@@ -47,6 +47,10 @@
     {error_kind::StorageFull, "storage-full", 507, -33052, NotRun, seconds(30)},
     {error_kind::Corrupt, "corrupt", 500, -33053, Unknown, {}},
     {error_kind::Internal, "internal", 500, -32603, Unknown, {}},
+    {error_kind::UnknownKey, "unknown-key", 401, -33060, NotRun, {}},
+    {error_kind::UnprovedKey, "unproved-key", 503, -33061, NotRun, seconds(1)},
+    {error_kind::QuotaExceeded, "quota-exceeded", 429, -33062, NotRun,
+     seconds(1)},
 }};
 
 } // namespace
--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -40,6 +40,8 @@
   std::vector<std::string> Seeds;
   /// Time without contact after which a voter may be replaced.
   base::duration DeadVoterTimeout = voter_policy::DefaultDeadVoterTimeout;
+  /// Reads the accounts from a plan's document; plans have none without it.
+  controlstate::accounts_reader ReadAccounts;
 };
 
 /// An order on a data centre from a caller that chose no id for it.
@@ -137,7 +139,7 @@
   void handle(const link_ptr & /*Link*/, const fleetlink::proof_reply &) {}
   void handle(const link_ptr & /*Link*/, const fleetlink::allotment_holder &) {}
   void handle(const link_ptr & /*Link*/, const fleetlink::allotment_reply &) {}
-  void handle(const link_ptr & /*Link*/, const fleetlink::proof_request &) {}
+  void handle(const link_ptr &Link, const fleetlink::proof_request &Request);
   void handle(const link_ptr & /*Link*/, const fleetlink::allotment_request &) {
   }
   void handle(const link_ptr & /*Link*/, const fleetlink::rollout_evidence &) {}
--- a/modules/controlnode/internal/controllinks.cpp
+++ b/modules/controlnode/internal/controllinks.cpp
@@ -109,6 +109,16 @@
   Link->send(changesSince(Request.Since));
 }
 
+void control_node::handle(const link_ptr &Link,
+                          const fleetlink::proof_request &Request) {
+  // Read as one, so that the proof covers the serial.
+  const fleetlink::log_position Position = logPosition();
+  Link->send(fleetlink::encodeLinkMessage(
+      fleetlink::proof_reply{.Nonce = Request.Nonce,
+                             .Latest = Position.Latest,
+                             .ProofAgeMs = Position.ProofAgeMs}));
+}
+
 void control_node::handle(const link_ptr &Link,
                           const fleetlink::crash_notification &Notice) {
   propose(Notice.Crash, CrashCallTimeout,
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -71,7 +71,9 @@
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
       Server(Loop), Voters(Options.DeadVoterTimeout), TickTimer(Loop),
       FlushTimer(Loop), ChangeAnnounceTimer(Loop), AnnounceTimer(Loop),
-      MaintenanceTimer(Loop), JoinTimer(Loop), TransferTimer(Loop) {}
+      MaintenanceTimer(Loop), JoinTimer(Loop), TransferTimer(Loop) {
+  State.setAccountsReader(Options.ReadAccounts);
+}
 
 control_node::~control_node() {
   for (const auto &[Raw, Held] : AcceptedLinks)
--- a/modules/controlstate/include/fulmar/controlstate/controlstate.h
+++ b/modules/controlstate/include/fulmar/controlstate/controlstate.h
@@ -17,10 +17,12 @@
 #include "fulmar/controlstate/replies.h"
 #include "fulmar/controlstate/targettable.h"
 #include "fulmar/document/controlpolicy.h"
+#include "fulmar/fleet/account.h"
 #include "fulmar/fleet/routingplan.h"
 #include "fulmar/publication/publisheditems.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,6 +39,11 @@
 token_proof makeTokenProof(std::string_view Token, const std::string &Section,
                            const std::string &RequiredHash);
 
+/// Reads the accounts from the document of a plan. Must depend on the document
+/// alone, because every instance reads it for itself.
+using accounts_reader =
+    std::function<base::result<fleet::account_set>(const std::string &)>;
+
 /// Not thread-safe; owned by the task that drives the log.
 class control_state final : public consensus::istate_machine {
 public:
@@ -61,6 +68,11 @@
   /// Like apply(), but takes and returns decoded values.
   reply applyCommand(consensus::log_index Index, const command &Command);
 
+  /// Publishes the accounts of each plan. Without a reader, plans have none.
+  void setAccountsReader(accounts_reader Chosen) {
+    ReadAccounts = std::move(Chosen);
+  }
+
   [[nodiscard]] const edit_log &edits() const { return Edits; }
   [[nodiscard]] const data_centre_table &dataCentres() const {
     return DataCentres;
@@ -120,6 +132,8 @@
   void publishQuarantines();
   void publishTarget(const std::string &Id);
   void publishPlan(fleet::routing_plan NewPlan);
+  /// Publishes the accounts of the current plan as a change made by \p Serial.
+  void publishAccounts(publication::serial Serial);
 
   /// Hash of the team's current token; empty if there is no such team.
   [[nodiscard]] std::string teamTokenHash(const std::string &Team) const;
@@ -146,6 +160,7 @@
   publication::published_items Published;
   /// Parsed from the section policy.control; the defaults if it is absent.
   document::control_policy Policy;
+  accounts_reader ReadAccounts;
 };
 
 } // namespace fulmar::controlstate
--- a/modules/controlstate/internal/controlstate.cpp
+++ b/modules/controlstate/internal/controlstate.cpp
@@ -231,8 +231,10 @@
   if (!Decoded)
     return error_reply{Decoded.error()};
   const bool Changed = Plan.replace(Replacement);
-  if (Changed)
+  if (Changed) {
     publishPlan(std::move(Decoded).value());
+    publishAccounts(Index);
+  }
   return plan_reply{.Version = Plan.version(), .Changed = Changed};
 }
 
--- a/modules/controlstate/internal/publishing.cpp
+++ b/modules/controlstate/internal/publishing.cpp
@@ -2,6 +2,7 @@
 
 #include "fulmar/controlstate/controlstate.h"
 #include "fulmar/controlstate/jsonconversion.h"
+#include "fulmar/fleet/account.h"
 
 #include <json/value.h>
 #include <json/writer.h>
@@ -82,6 +83,21 @@
   Published.put(publication::PlanKey, fleet::encodePlan(NewPlan), Index);
 }
 
+void control_state::publishAccounts(publication::serial Serial) {
+  if (!ReadAccounts || Plan.version() == 0)
+    return;
+  // Cannot fail for a plan that was accepted by a build that knows accounts. A
+  // plan of an earlier build may hold accounts that are invalid.
+  const auto Read = ReadAccounts(Plan.current().Document);
+  const fleet::account_set Accounts =
+      Read ? Read.value() : fleet::account_set{.Required = true};
+  // Once published, the item stays: its absence does not tell that no key is
+  // needed, because instances of an earlier build do not publish it.
+  if (Accounts.Required || Published.find(publication::AccountsKey) != nullptr)
+    Published.put(publication::AccountsKey, fleet::encodeAccounts(Accounts),
+                  Serial);
+}
+
 void control_state::publishQuarantines() {
   const std::string Prefix = publication::QuarantinePrefix;
   for (const publication::item &Item : Published.withPrefix(Prefix)) {
--- a/modules/controlstate/internal/snapshot.cpp
+++ b/modules/controlstate/internal/snapshot.cpp
@@ -119,6 +119,13 @@
   BOOST_OUTCOME_TRYV(Restored.Targets.decode(Form.Targets));
   BOOST_OUTCOME_TRYV(Restored.Published.merge(Form.Published));
   Restored.reloadPolicy();
+  Restored.ReadAccounts = ReadAccounts;
+  // An instance of an earlier build has published the plan without its
+  // accounts.
+  const publication::item *PlanItem =
+      Restored.Published.find(publication::PlanKey);
+  if (PlanItem != nullptr)
+    Restored.publishAccounts(PlanItem->Serial);
   *this = std::move(Restored);
   return base::success();
 }
--- a/modules/controlstate/tests/targets_tests.cpp
+++ b/modules/controlstate/tests/targets_tests.cpp
@@ -163,3 +163,59 @@
   CHECK_EQUAL(State.published().digest(), Restored.published().digest());
   STRCMP_EQUAL(State.snapshot().c_str(), Restored.snapshot().c_str());
 }
+
+TEST_GROUP(PublishedAccounts) {
+  control_state State;
+  consensus::log_index Next = 1;
+
+  void setup() override { State.setAccountsReader(&read); }
+  /// The document is the name of the only account; "none" has no accounts.
+  static base::result<fleet::account_set> read(const std::string &Document) {
+    if (Document == "none")
+      return fleet::account_set{};
+    return fleet::account_set{.Required = true,
+                              .Accounts = {{.Name = Document}}};
+  }
+  void replacePlan(std::uint64_t Version, const std::string &Document) {
+    State.applyCommand(Next++,
+                       {.WallMs = 1, .Body = planOf(Version, Document)});
+  }
+  static std::string publishedIn(const control_state &Held) {
+    const auto Value = Held.published().value(publication::AccountsKey);
+    if (!Value)
+      return "absent";
+    const auto Read = fleet::decodeAccounts(*Value);
+    return Read.value().Required ? Read.value().Accounts[0].Name
+                                 : "not required";
+  }
+};
+
+TEST(PublishedAccounts, followThePlanAndStayAbsentWithoutAccounts) {
+  replacePlan(1, "none");
+  STRCMP_EQUAL("absent", publishedIn(State).c_str());
+  replacePlan(2, "first");
+  STRCMP_EQUAL("first", publishedIn(State).c_str());
+  replacePlan(1, "older");
+  STRCMP_EQUAL("first", publishedIn(State).c_str());
+  replacePlan(3, "none");
+  STRCMP_EQUAL("not required", publishedIn(State).c_str());
+}
+
+// Guards against a control instance that takes over the snapshot of an earlier
+// build, which publishes no accounts, and lets entries serve without keys.
+TEST(PublishedAccounts, areDerivedFromASnapshotOfAnEarlierBuild) {
+  control_state Earlier;
+  Earlier.applyCommand(1, {.WallMs = 1, .Body = planOf(4, "first")});
+  STRCMP_EQUAL("absent", publishedIn(Earlier).c_str());
+  CHECK_TRUE(State.restore(Earlier.snapshot()).has_value());
+  STRCMP_EQUAL("first", publishedIn(State).c_str());
+  CHECK_EQUAL(Earlier.published().latest(), State.published().latest());
+}
+
+TEST(PublishedAccounts, surviveASnapshot) {
+  replacePlan(1, "first");
+  control_state Restored;
+  Restored.setAccountsReader(&read);
+  CHECK_TRUE(Restored.restore(State.snapshot()).has_value());
+  CHECK_EQUAL(State.published().digest(), Restored.published().digest());
+}
--- a/modules/fleet/include/fulmar/fleet/account.h
+++ b/modules/fleet/include/fulmar/fleet/account.h
@@ -5,7 +5,6 @@
 #define FULMAR_FLEET_ACCOUNT_H
 
 #include "fulmar/base/result.h"
-#include "fulmar/fleet/routingplan.h"
 
 #include <compare>
 #include <cstdint>
@@ -33,23 +32,13 @@
   friend auto operator<=>(const account &, const account &) = default;
 };
 
-/// What a plan says of accounts besides the accounts themselves. Published as
-/// one item, so that a reader can tell whether it holds all accounts.
-struct account_header {
-  /// Version of the plan that the accounts belong to.
-  plan_version Version = 0;
-  std::uint32_t AccountCount = 0;
-  /// Names of the routes that need no key.
-  std::vector<std::string> PublicRoutes;
-
-  friend auto operator<=>(const account_header &,
-                          const account_header &) = default;
-};
-
-/// The accounts of one plan. A plan without accounts needs no keys.
+/// The accounts of a plan.
 struct account_set {
-  account_header Header;
+  /// False if the plan does not mention accounts; requests then need no key.
+  bool Required = false;
   std::vector<account> Accounts;
+  /// Names of the routes that need no key.
+  std::vector<std::string> PublicRoutes;
 
   friend auto operator<=>(const account_set &, const account_set &) = default;
 };
@@ -57,10 +46,8 @@
 /// Fails with InvalidDocument; the message names accounts, never keys.
 base::result<void> checkAccounts(const account_set &Accounts);
 
-std::string encodeAccount(const account &Account);
-base::result<account> decodeAccount(std::string_view Bytes);
-std::string encodeAccountHeader(const account_header &Header);
-base::result<account_header> decodeAccountHeader(std::string_view Bytes);
+std::string encodeAccounts(const account_set &Accounts);
+base::result<account_set> decodeAccounts(std::string_view Bytes);
 
 } // namespace fulmar::fleet
 
--- a/modules/fleet/include/fulmar/fleet/fleetpacking.h
+++ b/modules/fleet/include/fulmar/fleet/fleetpacking.h
@@ -39,8 +39,8 @@
   return std::tie(Item.Name, Item.Keys, Item.Priority, Item.RequestsPerSecond,
                   Item.Burst);
 }
-inline auto fieldsOf(account_header &Item) {
-  return std::tie(Item.Version, Item.AccountCount, Item.PublicRoutes);
+inline auto fieldsOf(account_set &Item) {
+  return std::tie(Item.Required, Item.Accounts, Item.PublicRoutes);
 }
 inline auto fieldsOf(target_report &Item) {
   return std::tie(Item.Id, Item.Service, Item.DataCentre, Item.Address,
--- a/modules/fleet/internal/account.cpp
+++ b/modules/fleet/internal/account.cpp
@@ -57,20 +57,12 @@
   return base::success();
 }
 
-std::string encodeAccount(const account &Account) {
-  return claims::packValue(Account);
+std::string encodeAccounts(const account_set &Accounts) {
+  return claims::packValue(Accounts);
 }
 
-base::result<account> decodeAccount(std::string_view Bytes) {
-  return claims::unpackValue<account>(Bytes);
-}
-
-std::string encodeAccountHeader(const account_header &Header) {
-  return claims::packValue(Header);
-}
-
-base::result<account_header> decodeAccountHeader(std::string_view Bytes) {
-  return claims::unpackValue<account_header>(Bytes);
+base::result<account_set> decodeAccounts(std::string_view Bytes) {
+  return claims::unpackValue<account_set>(Bytes);
 }
 
 } // namespace fulmar::fleet
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -4,6 +4,7 @@
 #ifndef FULMAR_GATEWAY_FLEETFEED_H
 #define FULMAR_GATEWAY_FLEETFEED_H
 
+#include "fulmar/accounts/viewproof.h"
 #include "fulmar/controlstate/commands.h"
 #include "fulmar/eventloop/framelink.h"
 #include "fulmar/fleetlink/linkmessages.h"
@@ -30,10 +31,15 @@
 class fleet_feed {
 public:
   using view_handler = std::function<void(const fleet_view &)>;
+  /// Called when the view is proved to lack nothing that was acknowledged
+  /// before a later time than before.
+  using proof_handler = std::function<void(base::instant ProvedAt)>;
 
   fleet_feed(eventloop::loop &OwningLoop, fleet_feed_options InitialOptions,
              view_handler ChangeHandler);
 
+  /// Proofs are asked for only while the view has accounts.
+  void setProofHandler(proof_handler Handler) { OnProof = std::move(Handler); }
   void addSeeds(const std::vector<std::string> &Seeds);
   /// Tells the control instances whether callers may be sent to this entry.
   void setReady(bool Ready);
@@ -63,6 +69,9 @@
   void handle(const std::string &From,
               const fleetlink::control_plane_members &Notice);
   void handle(const fleetlink::fetch_reply &Reply);
+  void handle(const fleetlink::proof_reply &Reply);
+  void askForProof();
+  void notifyProof();
   void fetchIfBehind(bool AnyDataCentre);
   /// True when a first copy may be fetched from the instance: as far as can be
   /// known, its state is not older than what it acknowledged before a restart.
@@ -80,6 +89,10 @@
   view_decoder Decoder;
   crash_reports Reports;
   fleet_view View;
+  accounts::view_proof Proof;
+  proof_handler OnProof;
+  /// Asked in turn; counts the questions.
+  std::size_t ProofTurn = 0;
   bool Ready = false;
   /// Fetch everything, because the received changes could not be merged.
   bool NeedsFullCopy = false;
@@ -91,6 +104,7 @@
   unsigned FetchTimeouts = 0;
   eventloop::timer TickTimer;
   eventloop::timer HeartbeatTimer;
+  eventloop::timer ProofTimer;
   eventloop::timer FirstFetchTimer;
   bool FirstFetchArmed = false;
   /// When an instance first offered a copy.
--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -5,6 +5,7 @@
 #ifndef FULMAR_GATEWAY_GATEWAY_H
 #define FULMAR_GATEWAY_GATEWAY_H
 
+#include "fulmar/accounts/access.h"
 #include "fulmar/eventloop/loop.h"
 #include "fulmar/gateway/fleetfeed.h"
 #include "fulmar/gateway/headernames.h"
@@ -39,6 +40,7 @@
   std::size_t MaxBufferedBytes = std::size_t(64) << 20;
   /// Time from the stop request to the end of the process.
   base::duration GracePeriod = std::chrono::seconds(6);
+  accounts::access_options Access;
   /// Called for each target that a request has crashed.
   std::function<void(const controlstate::crash_command &)> OnCrash;
   /// Called for each response to a quarantined request.
@@ -59,6 +61,8 @@
   base::result<void> start();
   /// Replaces the view of the fleet by a newer one.
   void apply(const fleet_view &View);
+  /// The view lacks nothing that was acknowledged before \p ProvedAt.
+  void recordProof(base::instant ProvedAt);
   /// True once callers can be served.
   [[nodiscard]] bool ready() const;
   /// Finishes the running requests, stops accepting connections after part of
--- a/modules/gateway/include/fulmar/gateway/viewdecoder.h
+++ b/modules/gateway/include/fulmar/gateway/viewdecoder.h
@@ -5,6 +5,7 @@
 #ifndef FULMAR_GATEWAY_VIEWDECODER_H
 #define FULMAR_GATEWAY_VIEWDECODER_H
 
+#include "fulmar/fleet/account.h"
 #include "fulmar/fleet/routingplan.h"
 #include "fulmar/fleet/targetreport.h"
 #include "fulmar/placement/relayselector.h"
@@ -36,6 +37,8 @@
   std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
   /// Fingerprints of requests that crash targets.
   std::set<std::string> Quarantined;
+  /// The same object in each view until it changes; null if none was published.
+  std::shared_ptr<const fleet::account_set> Accounts;
 };
 
 class view_decoder {
@@ -59,6 +62,7 @@
   using decoded_items = std::map<std::string, decoded_item<Value>>;
 
   void decodePlan(const publication::published_items &Items);
+  void decodeAccounts(const publication::published_items &Items);
   void decodeRelays(const std::vector<publication::item> &Members);
   /// Decodes the items with \p Prefix that have changed.
   template <typename Value>
@@ -74,6 +78,8 @@
   /// Number of members, and the newest serial of one, when Relays was built.
   std::pair<std::size_t, publication::serial> RelaysBuiltFrom;
   std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
+  publication::serial AccountsSerial = 0;
+  std::shared_ptr<const fleet::account_set> Accounts;
   std::size_t Decoded = 0;
 };
 
--- a/modules/gateway/internal/applyview.cpp
+++ b/modules/gateway/internal/applyview.cpp
@@ -82,6 +82,14 @@
 } // namespace
 
 void gateway_state::apply(const fleet_view &View) {
+  if (View.Accounts != AccountSet) {
+    AccountSet = View.Accounts;
+    Accounts = accounts::account_directory(AccountSet);
+    telemetry::logChange(
+        telemetry::log_level::Info, "gateway", "accounts-in-force",
+        {{"accounts", std::to_string(AccountSet->Accounts.size())},
+         {"required", AccountSet->Required ? "yes" : "no"}});
+  }
   applyPlan(*this, View.Plan);
   ColdLimiter.setEntries(View.Entries);
   AnnouncedLimiter.setEntries(View.Entries);
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -113,6 +113,8 @@
     fail({base::error_kind::UnknownService, "no route"});
     return false;
   }
+  if (!checkAccess())
+    return false;
   Fingerprint = routing::fingerprintOfContent(
       Request.Method,
       std::string(headerOf(Request.Fields, "Host")) + Request.Target,
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -84,6 +84,8 @@
   /// Waits briefly for a plan if there is none, then serves the request.
   void begin();
   bool resolveRoute();
+  /// Decides by the request's key whether it may run; refuses it if not.
+  bool checkAccess();
   [[nodiscard]] bool keepsService(const fleet::route &Found) const;
   void setDeadline();
   void startProbeRound();
@@ -99,6 +101,8 @@
   [[nodiscard]] bool
   mayAwaitProbes(placement::admission_decision Decision) const;
   [[nodiscard]] placement::admission_request admissionRequest() const;
+  /// Of the account, or else of the route.
+  [[nodiscard]] std::uint32_t priority() const;
   [[nodiscard]] waiter_key waiterKey() const;
   void wait();
   void onWaitTimer();
@@ -123,6 +127,8 @@
   /// The request's head with one more header.
   [[nodiscard]] std::string requestHead(std::string_view Name,
                                         std::string_view Value) const;
+  /// True if the header concerns only the caller and this system.
+  [[nodiscard]] bool isOwnHeader(std::string_view Name, bool ToEntry) const;
   /// Number of attempts in which a target may have got the request.
   [[nodiscard]] std::size_t sentCount() const;
   /// Maximum number of such attempts.
@@ -183,6 +189,7 @@
   std::shared_ptr<const fleet::routing_plan> Plan;
   const fleet::route *Route = nullptr;
   service_ptr Service;
+  accounts::access_decision Access;
   std::string RequestId;
   /// Same for every retry of the request.
   std::uint64_t Fingerprint = 0;
--- a/modules/gateway/internal/exchangeattempts.cpp
+++ b/modules/gateway/internal/exchangeattempts.cpp
@@ -51,22 +51,20 @@
 std::string exchange::requestHead(std::string_view ExtraName,
                                   std::string_view ExtraValue) const {
   const header_names &Names = State.Options.HeaderNames;
+  const bool ToEntry = ExtraName == RelayRequestHeader;
   std::string Head = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
   for (const auto &Field : Request.Fields) {
     const std::string_view Name(Field.name_string().data(),
                                 Field.name_string().size());
-    const bool Own = equalsIgnoringCase(Name, Names.Deadline) ||
-                     equalsIgnoringCase(Name, Names.ExpectedTarget) ||
-                     equalsIgnoringCase(Name, RelayRequestHeader) ||
-                     equalsIgnoringCase(Name, "Content-Length") ||
-                     equalsIgnoringCase(Name, "Expect");
-    if (!Own && !isHopByHop(Request.Fields, Name))
+    if (!isOwnHeader(Name, ToEntry) && !isHopByHop(Request.Fields, Name))
       appendHeader(Head, Name, {Field.value().data(), Field.value().size()});
   }
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Deadline - State.Loop.now());
   appendHeader(Head, Names.Deadline,
                std::to_string(std::max<std::int64_t>(1, Left.count())));
+  if (Access.Account && !ToEntry)
+    appendHeader(Head, Names.Account, Access.Account->Name);
   appendHeader(Head, ExtraName, ExtraValue);
   const bool HasBody = Request.Body && !Request.Body->empty();
   if (HasBody || Request.Method == "POST" || Request.Method == "PUT" ||
--- a/modules/gateway/internal/exchangewaiting.cpp
+++ b/modules/gateway/internal/exchangewaiting.cpp
@@ -67,8 +67,13 @@
          State.Loop.now() + FullRetryInterval < Deadline;
 }
 
+std::uint32_t exchange::priority() const {
+  return Access.Account ? Access.Account->Priority.value_or(Route->Priority)
+                        : Route->Priority;
+}
+
 waiter_key exchange::waiterKey() const {
-  return {.Priority = Route->Priority,
+  return {.Priority = priority(),
           .Objective =
               FirstSentAt + std::chrono::milliseconds(Route->ObjectiveMs),
           .Request = this};
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -17,6 +17,11 @@
 /// Three heartbeats fit into the silence after which the control instances no
 /// longer refer callers to an entry.
 constexpr auto HeartbeatInterval = std::chrono::milliseconds(400);
+/// Several questions fit into the time for which a key that was taken away may
+/// still be accepted.
+constexpr auto ProofInterval = std::chrono::milliseconds(500);
+/// Instances that are asked at a time: one may be cut off or lag behind.
+constexpr std::size_t InstancesAsked = 2;
 constexpr auto TickInterval = std::chrono::milliseconds(100);
 /// A fetch that gets no reply is repeated at any instance. The timeout doubles
 /// with each fetch that times out: over a slow link a full copy takes a second,
@@ -41,11 +46,12 @@
                        view_handler ChangeHandler)
     : Loop(OwningLoop), Options(std::move(InitialOptions)),
       OnChange(std::move(ChangeHandler)), TickTimer(Loop), HeartbeatTimer(Loop),
-      FirstFetchTimer(Loop) {
+      ProofTimer(Loop), FirstFetchTimer(Loop) {
   addSeeds(Options.Seeds);
   TickTimer.every(TickInterval, [this] { tick(); });
   HeartbeatTimer.every(HeartbeatInterval,
                        [this] { sendAll(fleetlink::entry_heartbeat{}); });
+  ProofTimer.every(ProofInterval, [this] { askForProof(); });
 }
 
 void fleet_feed::addSeeds(const std::vector<std::string> &Seeds) {
@@ -100,6 +106,9 @@
     handle(*Reply);
   else if (std::holds_alternative<fleetlink::capabilities>(Message.value()))
     Links[From].Capable = true;
+  else if (const auto *Proved =
+               std::get_if<fleetlink::proof_reply>(&Message.value()))
+    handle(*Proved);
   else if (const auto *Receipt =
                std::get_if<fleetlink::notification_ack>(&Message.value()))
     Reports.confirm(Receipt->Id);
@@ -180,11 +189,51 @@
     telemetry::logChange(telemetry::log_level::Warning, "feed",
                          "changes-refused",
                          {{"error", Merged.error().Message}});
-  if (Items.latest() != Before)
+  if (Items.latest() != Before) {
+    const bool HadAccounts = View.Accounts != nullptr;
     OnChange(View = Decoder.decode(Items));
+    Proof.applied(Items.latest());
+    notifyProof();
+    if (View.Accounts && !HadAccounts)
+      askForProof();
+  }
   fetchIfBehind(false);
 }
 
+void fleet_feed::askForProof() {
+  if (!OnProof || !View.Accounts || !View.Accounts->Required)
+    return;
+  // In its own data centre first; the others in turn, so that one instance that
+  // lags behind does not decide.
+  std::vector<const control_link *> Local;
+  std::vector<const control_link *> Remote;
+  for (const auto &[Address, Link] : Links) {
+    if (Link.Capable && Link.Dialer->connected())
+      (Link.DataCentre == Options.Self.DataCentre ? Local : Remote)
+          .push_back(&Link);
+  }
+  const std::size_t Turn = ProofTurn++;
+  for (std::size_t Asked = 0; Asked < InstancesAsked; ++Asked) {
+    const auto &Preferred = Asked == 0 || Remote.empty() ? Local : Remote;
+    const auto &Group = Preferred.empty() ? Remote : Preferred;
+    if (!Group.empty())
+      Group[(Turn + Asked) % Group.size()]->Dialer->send(
+          fleetlink::encodeLinkMessage(
+              fleetlink::proof_request{Proof.ask(Loop.now())}));
+  }
+}
+
+void fleet_feed::handle(const fleetlink::proof_reply &Reply) {
+  Proof.answer(Reply.Nonce, Reply.Latest,
+               std::chrono::milliseconds(Reply.ProofAgeMs));
+  notifyProof();
+}
+
+void fleet_feed::notifyProof() {
+  if (OnProof && Proof.provedAt())
+    OnProof(*Proof.provedAt());
+}
+
 void fleet_feed::tick() {
   if (!FirstFetchArmed)
     fetchIfBehind(true);
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -339,6 +339,10 @@
 
 void gateway::apply(const fleet_view &View) { State->apply(View); }
 
+void gateway::recordProof(base::instant ProvedAt) {
+  State->ProvedAt = ProvedAt;
+}
+
 bool gateway::ready() const {
   return !State->Stopping && State->Routes.plan() != nullptr &&
          std::any_of(State->Services.begin(), State->Services.end(),
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -19,6 +19,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -129,6 +130,10 @@
   std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
   std::shared_ptr<const std::vector<placement::relay_peer>> RelayOrder;
   fleet::route_table Routes;
+  std::shared_ptr<const fleet::account_set> AccountSet;
+  accounts::account_directory Accounts{nullptr};
+  /// See gateway::recordProof().
+  std::optional<base::instant> ProvedAt;
   std::map<std::string, service_ptr> Services;
   /// By route name.
   std::map<std::string, traffic_splitter> TrafficSplitters;
--- a/modules/gateway/internal/viewdecoder.cpp
+++ b/modules/gateway/internal/viewdecoder.cpp
@@ -88,6 +88,24 @@
   Plan = std::make_shared<const fleet::routing_plan>(std::move(Read).value());
 }
 
+void view_decoder::decodeAccounts(const publication::published_items &Items) {
+  const publication::item *Item = Items.find(publication::AccountsKey);
+  // Instances of an earlier build do not publish the accounts: what was known
+  // before stays in use.
+  if (Item == nullptr || Item->Serial == AccountsSerial)
+    return;
+  AccountsSerial = Item->Serial;
+  ++Decoded;
+  auto Read = fleet::decodeAccounts(Item->Value);
+  if (!Read)
+    telemetry::logChange(telemetry::log_level::Error, "feed",
+                         "accounts-malformed",
+                         {{"error", Read.error().Message}});
+  // Without readable accounts no key is known, and none is assumed.
+  Accounts = std::make_shared<const fleet::account_set>(
+      Read ? std::move(Read).value() : fleet::account_set{.Required = true});
+}
+
 void view_decoder::decodeRelays(const std::vector<publication::item> &Members) {
   std::pair<std::size_t, publication::serial> Present;
   for (const auto &Item : Members) {
@@ -112,7 +130,8 @@
 
 fleet_view view_decoder::decode(const publication::published_items &Items) {
   decodePlan(Items);
-  fleet_view View{.Serial = Items.latest(), .Plan = Plan};
+  decodeAccounts(Items);
+  fleet_view View{.Serial = Items.latest(), .Plan = Plan, .Accounts = Accounts};
   for (const auto &Item : Items.withPrefix(publication::DataCentrePrefix)) {
     if (parseJson(Item.Value)["state"].asString() == "out")
       View.DataCentresOut.insert(
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -30,7 +30,8 @@
           .Leaving = "T-Leaving",
           .RateLimit = "T-Limit",
           .TargetId = "T-Id",
-          .RemainingWarmUp = "T-Cold"};
+          .RemainingWarmUp = "T-Cold",
+          .Account = "T-Account"};
 }
 
 /// A caller's connection.
@@ -123,6 +124,7 @@
   };
   std::vector<std::unique_ptr<scripted_target>> Targets;
   fleet::routing_plan Plan = testPlan();
+  std::shared_ptr<const fleet::account_set> Accounts;
 
   void setup() override { CHECK_TRUE(Gateway.start().has_value()); }
 
@@ -137,7 +139,8 @@
     fleet_view View{.Serial = 1,
                     .Plan = std::make_shared<fleet::routing_plan>(Plan),
                     .Entries = {"e"},
-                    .Quarantined = Quarantined};
+                    .Quarantined = Quarantined,
+                    .Accounts = Accounts};
     for (const auto &Target : Targets)
       View.Targets.push_back({.Id = Target->id(),
                               .Service = "s",
--- a/modules/publication/include/fulmar/publication/publisheditems.h
+++ b/modules/publication/include/fulmar/publication/publisheditems.h
@@ -39,11 +39,9 @@
 /// changed route is sent to the entries as that route only.
 inline constexpr const char *RoutePrefix = "plan-route/";
 
-/// Complete key of the fleet::account_header. Present only if the plan has
-/// accounts or an earlier one had them.
-inline constexpr const char *AccountHeaderKey = "accounts";
-/// The value is a fleet::account.
-inline constexpr const char *AccountPrefix = "account/";
+/// Complete key of the plan's fleet::account_set. One item, so that a reader
+/// has either all accounts or none. Present once a plan has had accounts.
+inline constexpr const char *AccountsKey = "accounts";
 /// Followed by the name of a service that has a roll-out.
 inline constexpr const char *RolloutPrefix = "rollout/";
 
