Quotas over all entries: tokens granted by the leading control instance

Now the leader grants a token for each request from a bucket for each account; a token is valid for overage x window after it was asked for, and a new leader starts with a fifth of the tolerance only, so any window stays within its bound with up to three changes of the leader. Entries batch their requests for tokens, keep unused ones, and answer 429 only if the holder said so.

--- a/modules/base/include/fulmar/base/baseerrors.h
+++ b/modules/base/include/fulmar/base/baseerrors.h
@@ -53,11 +53,12 @@
   UnknownKey,
   UnprovedKey,
   QuotaExceeded,
+  NoQuotaHolder,
 };
 
-/// Number of error kinds; the last one is QuotaExceeded.
+/// Number of error kinds; the last one is NoQuotaHolder.
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(error_kind::QuotaExceeded) + 1;
+    static_cast<std::size_t>(error_kind::NoQuotaHolder) + 1;
 
 /// States whether any target may have executed the request.
 enum class execution : std::uint8_t { NotRun, Unknown };
--- a/modules/base/internal/baseerrors.cpp
+++ b/modules/base/internal/baseerrors.cpp
@@ -51,6 +51,8 @@
     {error_kind::UnprovedKey, "unproved-key", 503, -33061, NotRun, seconds(1)},
     {error_kind::QuotaExceeded, "quota-exceeded", 429, -33062, NotRun,
      seconds(1)},
+    {error_kind::NoQuotaHolder, "no-quota-holder", 503, -33063, NotRun,
+     seconds(1)},
 }};
 
 } // namespace
--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -4,6 +4,7 @@
 #ifndef FULMAR_CONTROLNODE_CONTROLNODE_H
 #define FULMAR_CONTROLNODE_CONTROLNODE_H
 
+#include "fulmar/allotment/allotmentholder.h"
 #include "fulmar/base/stallmonitor.h"
 #include "fulmar/consensus/replicatedlog.h"
 #include "fulmar/controlnode/callqueue.h"
@@ -42,6 +43,7 @@
   base::duration DeadVoterTimeout = voter_policy::DefaultDeadVoterTimeout;
   /// Reads the accounts from a plan's document; plans have none without it.
   controlstate::accounts_reader ReadAccounts;
+  allotment::quota_options Quotas;
 };
 
 /// An order on a data centre from a caller that chose no id for it.
@@ -140,8 +142,8 @@
   void handle(const link_ptr & /*Link*/, const fleetlink::allotment_holder &) {}
   void handle(const link_ptr & /*Link*/, const fleetlink::allotment_reply &) {}
   void handle(const link_ptr &Link, const fleetlink::proof_request &Request);
-  void handle(const link_ptr & /*Link*/, const fleetlink::allotment_request &) {
-  }
+  void handle(const link_ptr &Link,
+              const fleetlink::allotment_request &Request);
   void handle(const link_ptr & /*Link*/, const fleetlink::rollout_evidence &) {}
 
   void dial(const std::string &Address);
@@ -193,6 +195,10 @@
   void proposeInBackground(controlstate::command_body Body);
   void fail(const base::error &Cause);
   [[nodiscard]] fleetlink::log_position logPosition() const;
+  /// True if this instance grants the tokens of accounts' quotas.
+  [[nodiscard]] bool holdsAllotments() const;
+  /// Applies the quotas of the current accounts.
+  void updateAllotments();
   /// Returns whether a recent quorum proof covers this instance's state.
   [[nodiscard]] bool hasFreshProof() const;
   [[nodiscard]] std::vector<std::string> memberAddresses() const;
@@ -218,6 +224,11 @@
   std::map<std::string, std::uint64_t> LoggedSerials;
   liveness_table Liveness;
   voter_policy Voters;
+  allotment::allotment_holder Allotments;
+  /// Serial of the accounts whose quotas Allotments has.
+  publication::serial AllotmentsSerial = 0;
+  /// Term in which this instance began to lead.
+  std::uint64_t LeaderTerm = 0;
   /// Handlers of proposals and reads that are pending in the log.
   std::map<consensus::ticket, call_handler> PendingRequests;
 
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -235,6 +235,8 @@
   if (LeadsNow && !IsLeader) {
     Liveness.becomeLeader(Loop.now());
     Voters.becomeLeader(Loop.now());
+    Allotments.begin(Loop.now());
+    LeaderTerm = Change.Term;
   }
   IsLeader = LeadsNow;
   Leader = Change.Leader;
@@ -276,7 +278,11 @@
   AnnouncedFreshProof = hasFreshProof();
   AnnounceScheduled = false;
   ChangeAnnounceTimer.cancel();
-  std::string Notices[2] = {fleetlink::encodeLinkMessage(logPosition())};
+  std::string Notices[3] = {fleetlink::encodeLinkMessage(logPosition())};
+  updateAllotments();
+  if (holdsAllotments() && !Allotments.empty())
+    Notices[2] = fleetlink::encodeLinkMessage(
+        fleetlink::allotment_holder{.Term = LeaderTerm});
   if (std::vector<std::string> Members = memberAddresses();
       Members != AnnouncedMembers) {
     Notices[1] = fleetlink::encodeLinkMessage(
--- a/modules/fleet/internal/account.cpp
+++ b/modules/fleet/internal/account.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-base::error invalid(std::string Message) {
+base::error accountError(std::string Message) {
   return {base::error_kind::InvalidDocument, std::move(Message)};
 }
 
@@ -37,21 +37,21 @@
   std::map<std::string, std::string> OwnerOfKey;
   for (const account &Account : Accounts.Accounts) {
     if (Account.Name.empty())
-      return invalid("an account has no name");
+      return accountError("an account has no name");
     if (!isHeaderValue(Account.Name))
-      return invalid("an account's name is not printable");
+      return accountError("an account's name is not printable");
     if (!Names.insert(Account.Name).second)
-      return invalid("two accounts are named '" + Account.Name + "'");
+      return accountError("two accounts are named '" + Account.Name + "'");
     if (!isLimit(Account.RequestsPerSecond) || !isLimit(Account.Burst))
-      return invalid("account '" + Account.Name +
-                     "' has a rate or burst that is no limit");
+      return accountError("account '" + Account.Name +
+                          "' has a rate or burst that is no limit");
     for (const std::string &Key : Account.Keys) {
       if (Key.empty())
-        return invalid("account '" + Account.Name + "' has an empty key");
+        return accountError("account '" + Account.Name + "' has an empty key");
       const auto [Owner, Added] = OwnerOfKey.emplace(Key, Account.Name);
       if (!Added && Owner->second != Account.Name)
-        return invalid("accounts '" + Owner->second + "' and '" + Account.Name +
-                       "' share a key");
+        return accountError("accounts '" + Owner->second + "' and '" +
+                            Account.Name + "' share a key");
     }
   }
   return base::success();
--- a/modules/gateway/include/fulmar/gateway/fleetfeed.h
+++ b/modules/gateway/include/fulmar/gateway/fleetfeed.h
@@ -40,6 +40,18 @@
 
   /// Proofs are asked for only while the view has accounts.
   void setProofHandler(proof_handler Handler) { OnProof = std::move(Handler); }
+  /// \p Handler gets the replies to askHolder().
+  void setAllotmentHandler(
+      std::function<void(const fleetlink::allotment_reply &)> Handler) {
+    OnAllotment = std::move(Handler);
+  }
+  /// Called when another control instance grants tokens from now on.
+  void setHolderHandler(std::function<void()> Handler) {
+    OnHolderChange = std::move(Handler);
+  }
+  /// Asks the instance that grants tokens. Does nothing if none is known.
+  void askHolder(const fleetlink::allotment_request &Request);
+  [[nodiscard]] bool knowsHolder() const { return !Holder.empty(); }
   void addSeeds(const std::vector<std::string> &Seeds);
   /// Tells the control instances whether callers may be sent to this entry.
   void setReady(bool Ready);
@@ -70,6 +82,9 @@
               const fleetlink::control_plane_members &Notice);
   void handle(const fleetlink::fetch_reply &Reply);
   void handle(const fleetlink::proof_reply &Reply);
+  void handle(const std::string &From,
+              const fleetlink::allotment_holder &Notice);
+  void handle(const std::string &From, const fleetlink::allotment_reply &Reply);
   void askForProof();
   void notifyProof();
   void fetchIfBehind(bool AnyDataCentre);
@@ -91,6 +106,11 @@
   fleet_view View;
   accounts::view_proof Proof;
   proof_handler OnProof;
+  std::function<void(const fleetlink::allotment_reply &)> OnAllotment;
+  std::function<void()> OnHolderChange;
+  /// Address of the instance that grants tokens; empty if unknown.
+  std::string Holder;
+  std::uint64_t HolderTerm = 0;
   /// Asked in turn; counts the questions.
   std::size_t ProofTurn = 0;
   bool Ready = false;
--- a/modules/gateway/include/fulmar/gateway/gateway.h
+++ b/modules/gateway/include/fulmar/gateway/gateway.h
@@ -41,6 +41,12 @@
   /// Time from the stop request to the end of the process.
   base::duration GracePeriod = std::chrono::seconds(6);
   accounts::access_options Access;
+  /// Time for which a token of a quota may be used.
+  base::duration TokenLifetime = std::chrono::milliseconds(500);
+  /// Whether the instance that grants tokens is known, and the sending of a
+  /// request to it. Without them, no account has a quota.
+  std::function<bool()> HolderKnown;
+  std::function<void(const fleetlink::allotment_request &)> AskForTokens;
   /// Called for each target that a request has crashed.
   std::function<void(const controlstate::crash_command &)> OnCrash;
   /// Called for each response to a quarantined request.
@@ -63,6 +69,9 @@
   void apply(const fleet_view &View);
   /// The view lacks nothing that was acknowledged before \p ProvedAt.
   void recordProof(base::instant ProvedAt);
+  void recordTokens(const fleetlink::allotment_reply &Reply);
+  /// Another instance grants tokens from now on.
+  void recordHolderChange();
   /// True once callers can be served.
   [[nodiscard]] bool ready() const;
   /// Finishes the running requests, stops accepting connections after part of
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -81,6 +81,10 @@
     Service->Retries.recordRequest(StartedAt);
   DeadlineTimer.after(std::max(base::duration(1), Deadline - State.Loop.now()),
                       [Self = shared_from_this()] { Self->onTimeout(); });
+  awaitToken();
+}
+
+void exchange::place() {
   if (!Service->Contact.lost() && Service->Waiters.anyBefore(waiterKey()))
     return wait();
   startProbeRound();
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -86,6 +86,11 @@
   bool resolveRoute();
   /// Decides by the request's key whether it may run; refuses it if not.
   bool checkAccess();
+  /// Chooses a target once the account's quota permits the request.
+  void awaitToken();
+  void onToken(const allotment::token_answer &Answer);
+  /// Starts to choose a target, after the requests that precede this one.
+  void place();
   [[nodiscard]] bool keepsService(const fleet::route &Found) const;
   void setDeadline();
   void startProbeRound();
@@ -190,6 +195,12 @@
   const fleet::route *Route = nullptr;
   service_ptr Service;
   accounts::access_decision Access;
+  /// Of the quota's token while it is awaited.
+  std::optional<std::uint64_t> TokenTicket;
+  /// End of the token's life until the request is sent.
+  std::optional<base::instant> TokenExpiresAt;
+  /// Time until the account's quota has a token again.
+  base::duration QuotaRetryAfter{};
   std::string RequestId;
   /// Same for every retry of the request.
   std::uint64_t Fingerprint = 0;
--- a/modules/gateway/internal/exchangeresponses.cpp
+++ b/modules/gateway/internal/exchangeresponses.cpp
@@ -129,6 +129,9 @@
     const bool Refused = Error.Kind == base::error_kind::Quarantined;
     appendHeader(Out.Headers, "Retry-After",
                  secondsText(Refused ? Kind.RetryAfter.value() : retryAfter()));
+  } else if (Error.Kind == base::error_kind::QuotaExceeded) {
+    appendHeader(Out.Headers, "Retry-After",
+                 secondsText(std::max(QuotaRetryAfter, retryAfter())));
   }
   FailureCause = Error.Message;
   finish(std::move(Out));
@@ -169,6 +172,12 @@
   ChoosingTarget = false;
   stopWaiting();
   --State.RunningRequests;
+  if (TokenTicket)
+    State.Quotas.forget(*TokenTicket);
+  TokenTicket.reset();
+  if (TokenExpiresAt && Attempts.empty())
+    State.Quotas.giveBack(Access.Account->Name, *TokenExpiresAt);
+  TokenExpiresAt.reset();
 }
 
 void exchange::finish(caller_response Response) {
--- a/modules/gateway/internal/fleetfeed.cpp
+++ b/modules/gateway/internal/fleetfeed.cpp
@@ -81,6 +81,8 @@
                 Links[Address].Latest = 0;
                 Links[Address].QuorumConfirmed = false;
                 Links[Address].Capable = false;
+                if (Holder == Address)
+                  Holder.clear();
                 // The reply to a pending fetch is lost with the link.
                 if (FetchedFrom == Address)
                   FetchPending = false;
@@ -109,6 +111,12 @@
   else if (const auto *Proved =
                std::get_if<fleetlink::proof_reply>(&Message.value()))
     handle(*Proved);
+  else if (const auto *Grants =
+               std::get_if<fleetlink::allotment_reply>(&Message.value()))
+    handle(From, *Grants);
+  else if (const auto *Granting =
+               std::get_if<fleetlink::allotment_holder>(&Message.value()))
+    handle(From, *Granting);
   else if (const auto *Receipt =
                std::get_if<fleetlink::notification_ack>(&Message.value()))
     Reports.confirm(Receipt->Id);
@@ -229,6 +237,34 @@
   notifyProof();
 }
 
+void fleet_feed::handle(const std::string &From,
+                        const fleetlink::allotment_holder &Notice) {
+  const bool Known =
+      Notice.Term < HolderTerm || (Notice.Term == HolderTerm && Holder == From);
+  if (Known)
+    return;
+  HolderTerm = Notice.Term;
+  Holder = From;
+  telemetry::logChange(
+      telemetry::log_level::Info, "feed", "quota-holder",
+      {{"control", From}, {"term", std::to_string(Notice.Term)}});
+  if (OnHolderChange)
+    OnHolderChange();
+}
+
+void fleet_feed::handle(const std::string &From,
+                        const fleetlink::allotment_reply &Reply) {
+  if (!Reply.Holder && Holder == From)
+    Holder.clear();
+  if (OnAllotment)
+    OnAllotment(Reply);
+}
+
+void fleet_feed::askHolder(const fleetlink::allotment_request &Request) {
+  if (!Holder.empty())
+    Links[Holder].Dialer->send(fleetlink::encodeLinkMessage(Request));
+}
+
 void fleet_feed::notifyProof() {
   if (OnProof && Proof.provedAt())
     OnProof(*Proof.provedAt());
--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -192,9 +192,10 @@
           [](const observed_response & /*Response*/) {}),
       ColdLimiter(Options.InstanceId),
       AnnouncedLimiter(Options.InstanceId, AnnouncedLimiterOptions),
-      ProbeBudget(Options.ProbesPerTargetPerSecond), SuspectChecker(*this),
-      ContactWatch(*this), SweepTimer(Loop), EvaluateTimer(Loop),
-      StopTimer(Loop), AcceptRetryTimer(Loop), RelayAcceptRetryTimer(Loop) {}
+      ProbeBudget(Options.ProbesPerTargetPerSecond), Quotas(*this),
+      SuspectChecker(*this), ContactWatch(*this), SweepTimer(Loop),
+      EvaluateTimer(Loop), StopTimer(Loop), AcceptRetryTimer(Loop),
+      RelayAcceptRetryTimer(Loop) {}
 
 void gateway_state::applyBackpressure(const observed_response &Response) {
   const placement::target_backpressure Backpressure =
@@ -343,6 +344,12 @@
   State->ProvedAt = ProvedAt;
 }
 
+void gateway::recordTokens(const fleetlink::allotment_reply &Reply) {
+  State->Quotas.answer(Reply);
+}
+
+void gateway::recordHolderChange() { State->Quotas.holderChanged(); }
+
 bool gateway::ready() const {
   return !State->Stopping && State->Routes.plan() != nullptr &&
          std::any_of(State->Services.begin(), State->Services.end(),
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -14,6 +14,7 @@
 #include "fulmar/routing/crashwatch.h"
 #include "internal/connectionpool.h"
 #include "internal/contactwatch.h"
+#include "internal/quotagate.h"
 #include "internal/suspectchecker.h"
 #include "internal/targetbackpressure.h"
 
@@ -126,6 +127,7 @@
   placement::fleet_rate_limiter ColdLimiter;
   placement::fleet_rate_limiter AnnouncedLimiter;
   placement::probe_budget ProbeBudget;
+  quota_gate Quotas;
   /// Of the latest view, and in the order in which this entry tries them.
   std::shared_ptr<const std::vector<placement::relay_peer>> Relays;
   std::shared_ptr<const std::vector<placement::relay_peer>> RelayOrder;
