--- a/modules/placement/internal/probebudget.cpp
+++ b/modules/placement/internal/probebudget.cpp
@@ -10,8 +10,8 @@
 /// equally over the entries.
 constexpr double UsedShare = 0.8;
 /// Size of the token bucket, in seconds of its refill rate: probes are most
-/// useful during surges. With UsedShare and InitialSeconds, the limit holds over
-/// any span of 28 s.
+/// useful during surges. With UsedShare and InitialSeconds, the limit holds
+/// over any span of 28 s.
 constexpr double BurstSeconds = 6;
 /// What an entry that has just started has, in seconds of its refill rate. A
 /// full bucket would let entries exceed the limit by restarting.
