Responses without a length that are reset during an upload are truncated

Cause: after a reset the first operation to fail takes the socket's error. That was the pending write, whose completion only marked the connection unusable; the read then saw an ordinary end, which completes a response without a length. Now an end counts as complete only if the write of the request has not failed, and waits for a write that is pending. The test fails on the code before. Looked at as well: the relay between entries frames its bodies with a length or chunks, streamed responses take the same path (onEnd). Suspected by reading, not run: modules/proxy (the thread-based entry) reads such responses too, and its body_reader does not know whether a write has failed.

--- a/modules/gateway/internal/targetconnection.cpp
+++ b/modules/gateway/internal/targetconnection.cpp
@@ -122,7 +122,9 @@
                       Self->Writing = false;
                       // The pending read reports how the call ended.
                       if (Failed)
-                        Self->Unusable = true;
+                        Self->Unusable = Self->WriteFailed = true;
+                      if (std::exchange(Self->EndedDuringWrite, false))
+                        Self->onEnd();
                     });
 }
 
@@ -245,7 +247,7 @@
 void target_connection::startStreaming() {
   notifyObserver();
   Unusable = true;
-  if (isInterim() || isForOtherRequest() || isUnverified())
+  if (!hasValidStatus() || isInterim() || isForOtherRequest() || isUnverified())
     return finish(
         truncatedError("long response that does not belong to the request"));
   Streaming = true;
@@ -325,9 +327,30 @@
   if (Failed == asio::error::eof && Parser->got_some()) {
     error_code Cut;
     Parser->put_eof(Cut);
-    if (!Cut && Parser->is_done())
-      return Streaming ? deliverPiece() : onResponse();
+    if (!Cut && Parser->is_done()) {
+      EndedDuringWrite = Writing;
+      return Writing ? void() : onEnd();
+    }
   }
+  onBrokenEnd(Failed);
+}
+
+/// A response without a length ends with its connection. After a reset, the
+/// first operation to fail takes the error: if that was the write of the
+/// request, the read sees an ordinary end although the response may be
+/// truncated.
+void target_connection::onEnd() {
+  if (!Done && !Streaming)
+    return close();
+  if (WriteFailed)
+    return onBrokenEnd(asio::error::connection_reset);
+  if (Streaming)
+    deliverPiece();
+  else
+    onResponse();
+}
+
+void target_connection::onBrokenEnd(error_code Failed) {
   if (Streaming)
     return endStream(truncatedError(Failed.message()));
   const bool ResponseBegun = Parser->got_some();
--- a/modules/gateway/internal/targetconnection.h
+++ b/modules/gateway/internal/targetconnection.h
@@ -131,6 +131,8 @@
   /// Feeds the parser; false if more bytes are needed or the call has ended.
   bool parse();
   void onReadError(error_code Failed);
+  void onEnd();
+  void onBrokenEnd(error_code Failed);
   void onResponse();
   void notifyObserver() const;
   /// The body is too large to be buffered: hands over its first part.
@@ -160,6 +162,9 @@
   bool Refused = false;
   bool Reading = false;
   bool Writing = false;
+  bool WriteFailed = false;
+  /// The target has ended the connection while the request is being written.
+  bool EndedDuringWrite = false;
   /// Not to be used for another call.
   bool Unusable = false;
   /// The connection has already served a call.
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -49,6 +49,12 @@
   void send(const std::string &Bytes) {
     asio::write(Socket, asio::buffer(Bytes));
   }
+  /// For more than the sockets' buffers hold: the gateway reads in the same
+  /// thread. \p Bytes must outlive the write.
+  void sendInBackground(const std::string &Bytes) {
+    asio::async_write(Socket, asio::buffer(Bytes),
+                      [](error_code /*Failed*/, std::size_t /*Count*/) {});
+  }
   void close() {
     error_code Ignored;
     Socket.close(Ignored);
--- a/modules/gateway/tests/longresponses_tests.cpp
+++ b/modules/gateway/tests/longresponses_tests.cpp
@@ -171,3 +171,87 @@
   // A response that was begun is neither replaced nor requested again.
   CHECK_EQUAL(2U, requestCount());
 }
+
+namespace {
+
+/// Answers the head of a request at once with a part of a body that has no
+/// length, never reads the request's body, and resets the connection.
+class resetting_target {
+public:
+  resetting_target(eventloop::loop &Loop, const std::string &Address)
+      : Acceptor(eventloop::listenOn(Loop, Address).value()),
+        Socket(Loop.context()), Timer(Loop) {
+    accept();
+  }
+  int Resets = 0;
+
+private:
+  void accept() {
+    Acceptor.async_accept(Socket, [this](error_code Failed) {
+      if (!Failed)
+        read();
+    });
+  }
+  void read() {
+    Socket.async_read_some(asio::buffer(Chunk),
+                           [this](error_code Failed, std::size_t Count) {
+                             if (Failed)
+                               return reset();
+                             answer(std::string(Chunk.data(), Count));
+                           });
+  }
+  void answer(const std::string &Head) {
+    const bool Probe = Head.starts_with("GET /healthz");
+    const auto At = std::min(Head.find("T-Request: "), Head.size());
+    const std::string Id = Head.substr(At, Head.find('\r', At) - At);
+    asio::write(Socket,
+                asio::buffer(Probe ? "HTTP/1.1 200 OK\r\nT-Id: t0\r\nT-Load: "
+                                     "0,0,4,100\r\nContent-Length: 0\r\n\r\n"
+                                   : "HTTP/1.1 200 OK\r\nT-Signature: s\r\n" +
+                                         Id + "\r\n\r\n" +
+                                         std::string(3'000, 'p')));
+    if (Probe)
+      return read();
+    Timer.after(std::chrono::milliseconds(300), [this] { reset(); });
+  }
+  void reset() {
+    ++Resets;
+    Socket.set_option(asio::socket_base::linger(true, 0));
+    Socket.close();
+    Socket = tcp::socket(Acceptor.get_executor());
+    accept();
+  }
+
+  tcp::acceptor Acceptor;
+  tcp::socket Socket;
+  eventloop::timer Timer;
+  std::array<char, 4'096> Chunk{};
+};
+
+} // namespace
+
+// Guards against a part of a response that is taken for all of it: the write of
+// the upload takes the error of the reset, and the read then sees an ordinary
+// end.
+TEST(LongResponses, aResponseThatIsResetDuringTheUploadNeverLooksComplete) {
+  Plan.Limits.MaxBodyBytes = std::uint64_t(64) << 20U;
+  resetting_target Target(Loop, "127.0.0.1:18570");
+  fleet_view View{.Serial = 1,
+                  .Plan = std::make_shared<fleet::routing_plan>(Plan),
+                  .Entries = {"e"}};
+  View.Targets.push_back({.Id = "t0",
+                          .Service = "s",
+                          .DataCentre = "pos",
+                          .Address = "127.0.0.1:18570",
+                          .Slots = 4,
+                          .StartedAtMs = 1});
+  Gateway.apply(View);
+  test_caller Caller(Loop);
+  const std::string Upload =
+      request("POST", "/write/x", std::string(std::size_t(8) << 20U, 'u'));
+
+  Caller.sendInBackground(Upload);
+  CHECK_TRUE(runUntil([&Target] { return Target.Resets > 0; }));
+  runUntil([&Caller] { return !Caller.Received.empty() || Caller.Ended; });
+  CHECK_TRUE(Caller.Received.find("200 OK") == std::string::npos);
+}
