A response without a valid status is broken at once

Callers saw: 504 at the route's time-out after a response with the status 000 or 099, which was skipped as an interim one. It was not passed on. Statuses above 599 were passed on. Now a status outside of 100 to 599 ends the attempt as broken, and the caller gets 502. The test fails on the code before.

--- a/modules/gateway/internal/targetconnection.cpp
+++ b/modules/gateway/internal/targetconnection.cpp
@@ -193,6 +193,13 @@
   return Done && !Unparsed.empty();
 }
 
+bool target_connection::hasValidStatus() const {
+  constexpr unsigned FirstStatus = 100;
+  constexpr unsigned LastStatus = 599;
+  const unsigned Status = Parser->get().result_int();
+  return Status >= FirstStatus && Status <= LastStatus;
+}
+
 bool target_connection::isInterim() const {
   constexpr unsigned FirstFinalStatus = 200;
   return Parser->get().result_int() < FirstFinalStatus;
@@ -220,6 +227,10 @@
 
 void target_connection::onResponse() {
   const auto &Message = Parser->get();
+  if (!hasValidStatus()) {
+    Unusable = true;
+    return finish(truncatedError("response without a valid status"));
+  }
   if (isInterim())
     return skipResponse();
   notifyObserver();
--- a/modules/gateway/internal/targetconnection.h
+++ b/modules/gateway/internal/targetconnection.h
@@ -140,6 +140,7 @@
   /// Skips an interim response or another request's, and awaits the next one.
   /// Fails the call if too many were skipped.
   void skipResponse();
+  [[nodiscard]] bool hasValidStatus() const;
   [[nodiscard]] bool isInterim() const;
   [[nodiscard]] bool isForOtherRequest() const;
   [[nodiscard]] bool isUnverified() const;
--- a/modules/gateway/tests/targetfaults_tests.cpp
+++ b/modules/gateway/tests/targetfaults_tests.cpp
@@ -249,3 +249,23 @@
   STRCMP_CONTAINS("done late", Caller.Received.c_str());
   Caller.close();
 }
+
+// Guards against a status that is none: it is neither passed on nor awaited
+// further.
+TEST(TargetFaults, aResponseWithoutAValidStatusIsABrokenResponseAtOnce) {
+  std::string Status;
+  addTarget([&Status](const received_request &Request) {
+    return target_action{
+        .Bytes = "HTTP/1.1 " + Status +
+                 " Odd\r\nT-Signature: s\r\nT-Request: " +
+                 std::string(headerOf(Request.Fields, "T-Request")) +
+                 "\r\nContent-Length: 2\r\n\r\nno"};
+  });
+  for (const char *Invalid : {"000", "099", "20", "600", "1000", "2 0", "-1"}) {
+    Status = Invalid;
+    const base::instant Start = Loop.now();
+    const std::string Response = fetch(request("POST", "/write/x", "b"));
+    STRCMP_CONTAINS("HTTP/1.1 502", Response.c_str());
+    CHECK_TRUE(Loop.now() - Start < std::chrono::milliseconds(700));
+  }
+}
