Control instances: a common bound on bodies that are being received

Operators see: a control instance that exceeds its memory, because each connection may hold a body of 8 MiB that stops short of its end. Short bodies need no reservation, so ordinary calls are still answered.

--- a/modules/eventloop/include/fulmar/eventloop/httpserver.h
+++ b/modules/eventloop/include/fulmar/eventloop/httpserver.h
@@ -63,10 +63,18 @@
   std::string Address;
   std::size_t MaxHeaderBytes = std::size_t(16) << 10;
   std::size_t MaxBodyBytes = std::size_t(8) << 20;
+  /// Bytes of long bodies that all connections together may be sent at a time.
+  /// Operators send one document at a time, eight at the most.
+  std::size_t MaxBufferedBytes = std::size_t(64) << 20;
   /// A connection that sends no request for this long is closed.
   base::duration IdleLimit = std::chrono::seconds(30);
 };
 
+/// Bytes that the bodies of all connections of a server take.
+struct body_budget {
+  std::size_t Reserved = 0;
+};
+
 class http_server {
 public:
   http_server(loop &OwningLoop, http_server_options Chosen,
@@ -82,6 +90,8 @@
   http_server_options Options;
   /// Shared with the connections, which may outlive the server.
   std::shared_ptr<const http_handler> Handler;
+  /// Shared with the connections as well.
+  std::shared_ptr<body_budget> Bodies = std::make_shared<body_budget>();
   std::unique_ptr<tcp::acceptor> Acceptor;
   timer AcceptRetry;
 };
--- a/modules/eventloop/internal/httpserver.cpp
+++ b/modules/eventloop/internal/httpserver.cpp
@@ -2,10 +2,13 @@
 
 #include "fulmar/eventloop/httpserver.h"
 
+#include "fulmar/telemetry/log.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -26,11 +29,16 @@
 public:
   http_connection(loop &OwningLoop, tcp::socket Accepted,
                   const http_server_options &Chosen,
-                  std::shared_ptr<const http_handler> Called)
+                  std::shared_ptr<const http_handler> Called,
+                  std::shared_ptr<body_budget> Shared)
       : Loop(OwningLoop), Socket(std::move(Accepted)), Options(Chosen),
-        Handler(std::move(Called)), Idle(OwningLoop) {
+        Handler(std::move(Called)), Bodies(std::move(Shared)),
+        Idle(OwningLoop) {
     tuneSocket(Socket);
   }
+  ~http_connection() { release(); }
+  http_connection(const http_connection &) = delete;
+  http_connection &operator=(const http_connection &) = delete;
 
   void read() {
     Parser.emplace();
@@ -38,15 +46,57 @@
     Parser->header_limit(static_cast<std::uint32_t>(Options.MaxHeaderBytes));
     Parser->body_limit(Options.MaxBodyBytes);
     Idle.after(Options.IdleLimit, [this] { close(); });
-    http::async_read(
+    http::async_read_header(
         Socket, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failed, std::size_t /*Count*/) {
-          Self->Idle.cancel();
-          Self->onRead(Failed);
+          Self->onHead(Failed);
         });
   }
 
 private:
+  void onHead(error_code Failed) {
+    if (!Failed && !reserve()) {
+      telemetry::logChange(telemetry::log_level::Warning, "http",
+                           "body-refused",
+                           {{"listen", Options.Address},
+                            {"reserved", std::to_string(Bodies->Reserved)}});
+      Idle.cancel();
+      Answered = false;
+      return answer({.Status = 503,
+                     .Body = "{\"error\":\"too many large requests\"}",
+                     .RetryAfter = "1"},
+                    false);
+    }
+    if (Failed || Parser->is_done()) {
+      Idle.cancel();
+      return onRead(Failed);
+    }
+    http::async_read(
+        Socket, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Failure, std::size_t /*Count*/) {
+          Self->Idle.cancel();
+          Self->onRead(Failure);
+        });
+  }
+
+  /// Reserves memory for the body. Short bodies need none: the connections that
+  /// a process may have bound them.
+  bool reserve() {
+    constexpr std::size_t ShortBody = std::size_t(64) << 10;
+    std::size_t Expected = Parser->chunked() ? Options.MaxBodyBytes : 0;
+    if (const auto Length = Parser->content_length())
+      Expected = static_cast<std::size_t>(*Length);
+    if (Expected <= ShortBody)
+      return true;
+    if (Bodies->Reserved + Expected >
+        std::max(Options.MaxBufferedBytes, Options.MaxBodyBytes))
+      return false;
+    Bodies->Reserved += Expected;
+    Reserved = Expected;
+    return true;
+  }
+  void release() { Bodies->Reserved -= std::exchange(Reserved, 0); }
+
   void onRead(error_code Failed) {
     Answered = false;
     if (Failed == http::error::body_limit)
@@ -93,6 +143,7 @@
     Message.keep_alive(Keep);
     Message.body() = std::move(Answer.Body);
     Message.prepare_payload();
+    release();
     Outgoing =
         std::make_unique<http::response<http::string_body>>(std::move(Message));
     http::async_write(Socket, *Outgoing,
@@ -105,6 +156,7 @@
   }
 
   void close() {
+    release();
     error_code Ignored;
     Socket.shutdown(tcp::socket::shutdown_send, Ignored);
     Socket.close(Ignored);
@@ -114,6 +166,9 @@
   tcp::socket Socket;
   http_server_options Options;
   std::shared_ptr<const http_handler> Handler;
+  std::shared_ptr<body_budget> Bodies;
+  /// This connection's part of the budget.
+  std::size_t Reserved = 0;
   timer Idle;
   beast::flat_buffer Buffer;
   base::instant AwaitedSince{};
@@ -149,7 +204,7 @@
       return;
     if (!Failed)
       std::make_shared<http_connection>(Loop, std::move(Socket), Options,
-                                        Handler)
+                                        Handler, Bodies)
           ->read();
     if (!Acceptor->is_open())
       return;
--- a/tests/system/support/childprocess.h
+++ b/tests/system/support/childprocess.h
@@ -28,6 +28,7 @@
   /// SIGKILL, and waits for the end.
   void kill();
   [[nodiscard]] bool running();
+  [[nodiscard]] pid_t id() const { return Id; }
 
 private:
   pid_t Id = -1;
