Probe budget: three quarters of the limit, with the bucket as before

After a power loss all entries start without tokens and send without a probe, to targets that do not answer what they can't queue.

--- a/modules/placement/include/fulmar/placement/probebudget.h
+++ b/modules/placement/include/fulmar/placement/probebudget.h
@@ -10,7 +10,6 @@
 #include "fulmar/base/time.h"
 
 #include <cstddef>
-#include <optional>
 
 namespace fulmar::placement {
 
@@ -29,8 +28,7 @@
   /// Probes per second that this entry may send.
   double Rate = 0;
   double Tokens = 0;
-  /// Empty until the first call of take().
-  std::optional<base::instant> RefilledAt;
+  base::instant RefilledAt{};
 };
 
 } // namespace fulmar::placement
--- a/modules/placement/internal/probebudget.cpp
+++ b/modules/placement/internal/probebudget.cpp
@@ -6,16 +6,13 @@
 
 namespace {
 
-/// Fraction of the limit that is used, because requests are not distributed
-/// equally over the entries.
-constexpr double UsedShare = 0.8;
-/// Size of the token bucket, in seconds of its refill rate: probes are most
-/// useful during surges. With UsedShare and InitialSeconds, the limit holds
-/// over any span of 28 s.
-constexpr double BurstSeconds = 6;
-/// What an entry that has just started has, in seconds of its refill rate. A
-/// full bucket would let entries exceed the limit by restarting.
-constexpr double InitialSeconds = 1;
+/// Fraction of the limit that is used. Requests are not distributed equally
+/// over the entries, and with the full bucket of BurstSeconds the limit holds
+/// over any span of 45 s in which no entry restarts.
+constexpr double UsedShare = 0.75;
+/// Size of the token bucket, in seconds of its refill rate. The limit applies
+/// to the long-term average, and probes are most useful during surges.
+constexpr double BurstSeconds = 15;
 /// Probes per second that are always allowed: enough for a request while no
 /// target is known.
 constexpr double MinRate = 5;
@@ -31,11 +28,9 @@
 
 std::size_t probe_budget::take(std::size_t Wanted, base::instant Now) {
   constexpr double MicrosPerSecond = 1e6;
-  if (!RefilledAt)
-    Tokens = Rate * InitialSeconds;
+  // RefilledAt is initially the epoch, so the first call fills the bucket.
   const double Elapsed =
-      static_cast<double>((Now - RefilledAt.value_or(Now)).count()) /
-      MicrosPerSecond;
+      static_cast<double>((Now - RefilledAt).count()) / MicrosPerSecond;
   Tokens = std::min(Rate * BurstSeconds, Tokens + Elapsed * Rate);
   RefilledAt = Now;
   const auto Taken =
