--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -122,14 +122,18 @@
   void signalEntry(std::size_t Index, int Number);
   void signalControl(std::size_t Index, int Number);
   void killControl(std::size_t Index);
-  /// Resident memory of a control instance; 0 if it doesn't run.
-  [[nodiscard]] std::size_t controlBytes(std::size_t Index) const;
+  void killEntry(std::size_t Index);
+  void startEntry(std::size_t Index);
+  /// Resident memory of an entry; 0 if it doesn't run.
+  [[nodiscard]] std::size_t entryBytes(std::size_t Index) const;
   void restartControl(std::size_t Index, bool WithEmptyDisk);
   void stop();
 
   [[nodiscard]] std::string control(std::size_t Index) const;
   [[nodiscard]] std::string front(std::size_t Index) const;
   [[nodiscard]] std::vector<std::string> controls() const;
+  /// Memory of an entry's machine in MB; to be chosen before the start.
+  void setEntryMemory(int Megabytes) { EntryMemory = Megabytes; }
   [[nodiscard]] std::string upstreamHost(std::size_t Index) const;
   [[nodiscard]] const ports &allPorts() const { return Ports; }
 
@@ -141,7 +145,7 @@
   [[nodiscard]] std::string host(int Last) const;
   [[nodiscard]] std::string seeds() const;
   void startControl(std::size_t Index, bool Bootstrap);
-  void startEntry(std::size_t Index);
+  void kill(node &Node);
   pid_t run(const std::string &Program, const std::string &Name,
             const std::string &Settings);
   bool findPorts();
@@ -150,6 +154,7 @@
   std::string Folder;
   record &Log;
   ports Ports{};
+  int EntryMemory = 195;
   std::vector<node> Controls;
   std::vector<node> Entries;
 };
