Voters survive the disk losses that a deployment tolerates

Cause: voters were removed as long as the others bore more failures, down to three, which survive one lost disk. And an instance that asked to join made the leader remove a silent voter first: a leader whose followers had lost their disks took a voter out for an instance that was back early. An entry counts once appended, so the cluster never had a quorum again.

Ruled out by reading: an election among the removed voters, and nextMembers(), which takes out only voters whose disks are lost.

Fix: n voters survive d lost disks only if n - d is a majority. The loss of a ninth of eleven instances now stops changes; with four or more left, or one tolerated disk, nothing changes.

--- a/modules/consensus/include/fulmar/consensus/consensustypes.h
+++ b/modules/consensus/include/fulmar/consensus/consensustypes.h
@@ -48,6 +48,16 @@
                           const configuration &) = default;
 };
 
+/// Returns how many of \p Voters voters form a majority.
+constexpr std::size_t quorumOf(std::size_t Voters) { return Voters / 2 + 1; }
+
+/// Returns how many of \p Voters voters may lose their disks at once so that
+/// the others can still elect a leader, and one of them holds each committed
+/// entry. A voter that lost its disk has no vote until the others readmit it.
+constexpr std::size_t survivableDiskLosses(std::size_t Voters) {
+  return Voters == 0 ? 0 : Voters - quorumOf(Voters);
+}
+
 enum class role : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
 
 /// Returns the name of \p Role as shown in logs and status output.
--- a/modules/controlnode/include/fulmar/controlnode/controlnode.h
+++ b/modules/controlnode/include/fulmar/controlnode/controlnode.h
@@ -39,8 +39,7 @@
   /// Link addresses of the control instances known at the start, which are also
   /// the initial voters of a new cluster.
   std::vector<std::string> Seeds;
-  /// Time without contact after which a voter may be replaced.
-  base::duration DeadVoterTimeout = voter_policy::DefaultDeadVoterTimeout;
+  voter_policy_options Voters;
   /// Reads the accounts from a plan's document; plans have none without it.
   controlstate::accounts_reader ReadAccounts;
   allotment::quota_options Quotas;
@@ -190,6 +189,8 @@
   void performMaintenance();
   void requestMembership();
   void removeSilentVoter();
+  /// Logs once why a silent voter is kept.
+  void logKeptVoter(const std::optional<std::string> &Kept);
   void changeVoters(const voter_change &Change,
                     const std::string &JoiningInstance);
   void proposeInBackground(controlstate::command_body Body);
@@ -224,6 +225,8 @@
   std::map<std::string, std::uint64_t> LoggedSerials;
   liveness_table Liveness;
   voter_policy Voters;
+  /// Silent voter that was last logged as kept for the sake of its disk.
+  std::optional<std::string> LoggedKeptVoter;
   allotment::allotment_holder Allotments;
   /// Serial of the accounts whose quotas Allotments has.
   publication::serial AllotmentsSerial = 0;
--- a/modules/controlnode/include/fulmar/controlnode/voterpolicy.h
+++ b/modules/controlnode/include/fulmar/controlnode/voterpolicy.h
@@ -1,6 +1,7 @@
 // Decides which membership change of the replicated log the leader should make.
-// A joining instance replaces a voter without recent contact, and such voters
-// are also removed if the others then tolerate more failures.
+// Joining instances are added. Voters without recent contact are removed if the
+// others then tolerate more failures, but never so many that the voters survive
+// fewer lost disks than the deployment tolerates.
 
 #ifndef FULMAR_CONTROLNODE_VOTERPOLICY_H
 #define FULMAR_CONTROLNODE_VOTERPOLICY_H
@@ -28,15 +29,19 @@
   friend auto operator<=>(const voter_change &, const voter_change &) = default;
 };
 
+struct voter_policy_options {
+  /// Voters without contact for longer than this may be removed. Longer than
+  /// machines are usually paused, disconnected or restarting.
+  base::duration DeadVoterTimeout = std::chrono::seconds(8);
+  /// Disks that may be lost at the same time without loss of a committed entry
+  /// or of the ability to elect a leader. The default is the highest number of
+  /// the described deployments.
+  std::size_t ToleratedDiskLosses = 2;
+};
+
 class voter_policy {
 public:
-  /// Longer than machines are usually paused, disconnected or restarting.
-  static constexpr base::duration DefaultDeadVoterTimeout =
-      std::chrono::seconds(8);
-
-  /// Voters without contact for longer than \p Limit may be removed.
-  explicit voter_policy(base::duration Limit = DefaultDeadVoterTimeout)
-      : DeadVoterTimeout(Limit) {}
+  explicit voter_policy(voter_policy_options Chosen = {}) : Options(Chosen) {}
 
   /// Records that a message arrived from the instance.
   void recordContact(const std::string &Id, base::instant Now) {
@@ -46,20 +51,35 @@
   void becomeLeader(base::instant Now) { LeaderSince = Now; }
 
   /// Returns the change to make when \p JoiningInstance asks to join, if any.
+  /// The instance is added before a silent voter is removed, so that there are
+  /// never fewer voters in between.
   [[nodiscard]] std::optional<voter_change>
   changeForJoinRequest(const std::string &JoiningInstance,
                        const consensus::configuration &Members,
                        const std::string &Self, base::instant Now) const;
   /// Returns the removal of a silent voter if the reachable voters would
-  /// tolerate more failures without all silent ones.
+  /// tolerate more failures without those silent ones that may be removed.
   [[nodiscard]] std::optional<voter_change>
   voterToRemove(const consensus::configuration &Members,
                 const std::string &Self, base::instant Now) const;
+  /// Returns the silent voter that is kept only because the remaining voters
+  /// would survive too few lost disks; empty if there is none.
+  [[nodiscard]] std::optional<std::string>
+  voterKeptForDisks(const consensus::configuration &Members,
+                    const std::string &Self, base::instant Now) const;
 
 private:
   [[nodiscard]] bool isSilent(const std::string &Id, base::instant Now) const;
+  /// Returns the smallest number of voters to which \p Voters may be reduced.
+  /// A deployment with too few instances for its tolerance keeps what it has.
+  [[nodiscard]] std::size_t minimumVoters(std::size_t Voters) const;
+  /// Returns the first silent voter if the reachable voters would tolerate more
+  /// failures in a cluster that is reduced to \p Minimum voters at least.
+  [[nodiscard]] std::optional<std::string>
+  uselessVoter(const consensus::configuration &Members, const std::string &Self,
+               std::size_t Minimum, base::instant Now) const;
 
-  base::duration DeadVoterTimeout;
+  voter_policy_options Options;
   std::map<std::string, base::instant> HeardAt;
   base::instant LeaderSince{};
 };
--- a/modules/controlnode/internal/controlnode.cpp
+++ b/modules/controlnode/internal/controlnode.cpp
@@ -69,9 +69,9 @@
                            control_node_options Chosen,
                            telemetry::metrics &Registry)
     : Loop(OwningLoop), Options(std::move(Chosen)), Metrics(Registry),
-      Server(Loop), Voters(Options.DeadVoterTimeout), TickTimer(Loop),
-      FlushTimer(Loop), ChangeAnnounceTimer(Loop), AnnounceTimer(Loop),
-      MaintenanceTimer(Loop), JoinTimer(Loop), TransferTimer(Loop) {
+      Server(Loop), Voters(Options.Voters), TickTimer(Loop), FlushTimer(Loop),
+      ChangeAnnounceTimer(Loop), AnnounceTimer(Loop), MaintenanceTimer(Loop),
+      JoinTimer(Loop), TransferTimer(Loop) {
   State.setAccountsReader(Options.ReadAccounts);
 }
 
@@ -306,6 +306,12 @@
       .set(static_cast<std::int64_t>(Log->journalBytes()));
   Metrics.gaugeOf("fulmar_control_plan_version")
       .set(static_cast<std::int64_t>(State.plan().version()));
+  const std::size_t VoterCount = Log->status(Loop.now()).Members.Voters.size();
+  Metrics.gaugeOf("fulmar_control_voters")
+      .set(static_cast<std::int64_t>(VoterCount));
+  Metrics.gaugeOf("fulmar_control_survivable_disk_losses")
+      .set(static_cast<std::int64_t>(
+          consensus::survivableDiskLosses(VoterCount)));
   if (!IsLeader) {
     auto Heard = Liveness.takeReportedTargets();
     if (!Heard.empty())
--- a/modules/controlnode/internal/voterpolicy.cpp
+++ b/modules/controlnode/internal/voterpolicy.cpp
@@ -6,11 +6,20 @@
 
 namespace fulmar::controlnode {
 
+using consensus::quorumOf;
+using consensus::survivableDiskLosses;
+
 bool voter_policy::isSilent(const std::string &Id, base::instant Now) const {
   const auto Found = HeardAt.find(Id);
   const base::instant Last = std::max(
       LeaderSince, Found == HeardAt.end() ? LeaderSince : Found->second);
-  return Now - Last > DeadVoterTimeout;
+  return Now - Last > Options.DeadVoterTimeout;
+}
+
+std::size_t voter_policy::minimumVoters(std::size_t Voters) const {
+  const std::size_t Losses =
+      std::min(Options.ToleratedDiskLosses, survivableDiskLosses(Voters));
+  return 2 * Losses + 1;
 }
 
 std::optional<voter_change> voter_policy::changeForJoinRequest(
@@ -19,27 +28,33 @@
   const auto Is = [](const std::string &Id) {
     return [&Id](const consensus::member &Member) { return Member.Id == Id; };
   };
+  const auto IsSilentPeer = [&](const consensus::member &Member) {
+    return Member.Id != Self && isSilent(Member.Id, Now);
+  };
   const auto &Voters = Members.Voters;
   const auto &Learners = Members.Learners;
   if (!Members.Formed ||
       std::any_of(Voters.begin(), Voters.end(), Is(JoiningInstance)) ||
       std::any_of(Learners.begin(), Learners.end(), Is(JoiningInstance)))
     return std::nullopt;
-  // Check learners too, because they are about to become voters.
-  for (const auto *Held : {&Learners, &Voters}) {
-    for (const consensus::member &Member : *Held) {
-      if (Member.Id != Self && isSilent(Member.Id, Now))
-        return voter_change{voter_change::kind::Remove, Member.Id};
-    }
-  }
-  if (Voters.size() + Learners.size() >= MaxVoters)
+  // A learner has no vote yet, so its removal costs nothing. It must not become
+  // a voter while it is silent.
+  const auto Learner =
+      std::find_if(Learners.begin(), Learners.end(), IsSilentPeer);
+  if (Learner != Learners.end())
+    return voter_change{voter_change::kind::Remove, Learner->Id};
+  if (Voters.size() + Learners.size() < MaxVoters)
+    return voter_change{voter_change::kind::Add, JoiningInstance};
+  const auto Voter = std::find_if(Voters.begin(), Voters.end(), IsSilentPeer);
+  if (Voter == Voters.end() || Voters.size() <= minimumVoters(Voters.size()))
     return std::nullopt;
-  return voter_change{voter_change::kind::Add, JoiningInstance};
+  return voter_change{voter_change::kind::Remove, Voter->Id};
 }
 
-std::optional<voter_change>
-voter_policy::voterToRemove(const consensus::configuration &Members,
-                            const std::string &Self, base::instant Now) const {
+std::optional<std::string>
+voter_policy::uselessVoter(const consensus::configuration &Members,
+                           const std::string &Self, std::size_t Minimum,
+                           base::instant Now) const {
   if (!Members.Formed || !Members.Learners.empty())
     return std::nullopt;
   const auto &Voters = Members.Voters;
@@ -49,15 +64,33 @@
   const auto Silent = static_cast<std::size_t>(
       std::count_if(Voters.begin(), Voters.end(), IsSilentPeer));
   const std::size_t Reachable = Voters.size() - Silent;
-  const auto QuorumOf = [](std::size_t Listed) { return Listed / 2 + 1; };
   // Tolerated failures: the reachable voters in excess of the quorum.
-  const std::size_t ToleratedWithout = Reachable - QuorumOf(Reachable);
-  const std::size_t ToleratedNow =
-      Reachable - std::min(Reachable, QuorumOf(Voters.size()));
-  if (Silent == 0 || ToleratedWithout <= ToleratedNow)
+  const auto ToleratedOf = [Reachable](std::size_t Listed) {
+    return Reachable - std::min(Reachable, quorumOf(Listed));
+  };
+  if (Silent == 0 ||
+      ToleratedOf(std::max(Reachable, Minimum)) <= ToleratedOf(Voters.size()))
+    return std::nullopt;
+  return std::find_if(Voters.begin(), Voters.end(), IsSilentPeer)->Id;
+}
+
+std::optional<voter_change>
+voter_policy::voterToRemove(const consensus::configuration &Members,
+                            const std::string &Self, base::instant Now) const {
+  const auto Found =
+      uselessVoter(Members, Self, minimumVoters(Members.Voters.size()), Now);
+  if (!Found)
+    return std::nullopt;
+  return voter_change{voter_change::kind::Remove, *Found};
+}
+
+std::optional<std::string>
+voter_policy::voterKeptForDisks(const consensus::configuration &Members,
+                                const std::string &Self,
+                                base::instant Now) const {
+  if (voterToRemove(Members, Self, Now))
     return std::nullopt;
-  const auto Found = std::find_if(Voters.begin(), Voters.end(), IsSilentPeer);
-  return voter_change{voter_change::kind::Remove, Found->Id};
+  return uselessVoter(Members, Self, 1, Now);
 }
 
 } // namespace fulmar::controlnode
--- a/programs/control/controlcalls.cpp
+++ b/programs/control/controlcalls.cpp
@@ -165,6 +165,8 @@
     Json["voters"].append(Voter.Id);
   for (const consensus::member &Learner : Status.Members.Learners)
     Json["learners"].append(Learner.Id);
+  Json["survivable_disk_losses"] = Json::UInt64(
+      consensus::survivableDiskLosses(Status.Members.Voters.size()));
   if (Status.ProofAge)
     Json["proof_age_ms"] = Json::Int64(milliseconds(*Status.ProofAge));
   return Json;
--- a/programs/control/controltask.cpp
+++ b/programs/control/controltask.cpp
@@ -171,6 +171,15 @@
     return Call.Responder->set(Id.error());
   const auto Ticket =
       Adds ? Log->addVoter(Id.value(), Now) : Log->removeVoter(Id.value(), Now);
+  const std::size_t Voters = Log->status(Now).Members.Voters.size();
+  telemetry::logChange(
+      telemetry::log_level::Info, "control",
+      Adds ? "voter-added" : "voter-removed",
+      {{"instance", Id.value()},
+       {"voters", std::to_string(Voters)},
+       {"survivable_disk_losses",
+        std::to_string(consensus::survivableDiskLosses(Voters))},
+       {"outcome", Ticket ? "begun" : Ticket.error().Message}});
   answerWhenDone(Ticket, Call.Responder);
 }
 
