Open connections get the limits of the plan in force

Cause: caller_session::resetParser() read the limits when the last response ended, for an idle connection long before its next request. Ruled out: an entry that had not taken the plan (it served the same upload on new connections).

Fix: the limits are applied to the parser when the first byte of a request is parsed. A request that has begun keeps its limits, so a change does not widen the buffers of a half-received one. The log line request-rejected names the version whose limits a rejected request was held to, which could not be told before.

--- a/modules/gateway/internal/callersession.cpp
+++ b/modules/gateway/internal/callersession.cpp
@@ -2,6 +2,8 @@
 
 #include "internal/callersession.h"
 
+#include "fulmar/telemetry/log.h"
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -55,18 +57,23 @@
 }
 
 void caller_session::resetParser() {
-  const fleet::caller_limits Limits = limits();
   Parser.emplace();
   Parser->eager(true);
+  RequestBegun = false;
+  HeadDone = false;
+  ContinueSent = false;
+  WaitSince = State.Loop.now();
+}
+
+void caller_session::beginRequest() {
+  const fleet::caller_limits Limits = limits();
   const std::size_t OwnHeaders =
       Peer == session_peer::Entry ? MaxRelayHeaderBytes : 0;
   Parser->header_limit(
       static_cast<std::uint32_t>(Limits.MaxHeaderBytes + OwnHeaders));
   Parser->body_limit(Limits.MaxBodyBytes);
-  RequestBegun = false;
-  HeadDone = false;
-  ContinueSent = false;
-  WaitSince = State.Loop.now();
+  LimitsVersion = State.Routes.plan() ? State.Routes.plan()->Version : 0;
+  RequestBegun = true;
 }
 
 bool caller_session::wantsRead() const {
@@ -98,7 +105,8 @@
 
 void caller_session::parse() {
   while (!Closed && !Exchange && !Writing && !Unparsed.empty()) {
-    RequestBegun = true;
+    if (!RequestBegun)
+      beginRequest();
     error_code Failed;
     const std::size_t Consumed = Parser->put(asio::buffer(Unparsed), Failed);
     Unparsed.erase(0, Consumed);
@@ -132,9 +140,9 @@
 
 void caller_session::onParseError(error_code Failed) {
   if (Failed == http::error::header_limit)
-    return reject(431, "header-too-large");
+    return rejectTooLarge(431, "header-too-large");
   if (Failed == http::error::body_limit)
-    return reject(413, "request-too-large");
+    return rejectTooLarge(413, "request-too-large");
   reject(400, "bad-request");
 }
 
@@ -237,6 +245,14 @@
   close();
 }
 
+void caller_session::rejectTooLarge(unsigned Status, std::string_view Error) {
+  telemetry::logChange(telemetry::log_level::Info, "gateway",
+                       "request-rejected",
+                       {{"error", std::string(Error)},
+                        {"limits_of_plan", std::to_string(LimitsVersion)}});
+  reject(Status, Error);
+}
+
 void caller_session::reject(unsigned Status, std::string_view Error) {
   KeepAlive = false;
   HeadOnly = false;
--- a/modules/gateway/internal/callersession.h
+++ b/modules/gateway/internal/callersession.h
@@ -48,9 +48,13 @@
   void onBytes(std::string_view Bytes);
   void parse();
   void resetParser();
+  /// Applies the limits in force. The connection may have been idle since an
+  /// earlier plan; a request that has begun keeps its limits.
+  void beginRequest();
   void onParseError(error_code Failed);
   void onRequest();
   void respond(caller_response Response);
+  void rejectTooLarge(unsigned Status, std::string_view Error);
   void reject(unsigned Status, std::string_view Error);
   /// Writes \p Head and \p Body, then calls \p Written.
   void write(std::string Head, std::string Body,
@@ -74,6 +78,9 @@
   std::string Unparsed;
   /// At least one byte of the next request has been parsed.
   bool RequestBegun = false;
+  /// Version of the plan whose limits the current request is held to; 0 while
+  /// there was no plan.
+  fleet::plan_version LimitsVersion = 0;
   bool HeadDone = false;
   bool ContinueSent = false;
   bool Reading = false;
