Retired services hear of departures while requests use them

Cause: applyPlan() dropped the state of a service that the plan no longer has, and applyTargets() updated the others only; a running exchange kept the dropped one and chose among its last targets. When the next plan brought the service back, it got a new state, and the exchange kept the old one. Ruled out: the way of the acknowledgement (obeyed when the plan keeps the service).

Fix: services that a plan dropped are known for as long as something uses them, get targets and relays with each view, and are taken into use again when a plan names them.

--- a/modules/gateway/internal/applyview.cpp
+++ b/modules/gateway/internal/applyview.cpp
@@ -14,25 +14,7 @@
   if (!Plan || Plan == State.Routes.plan())
     return;
   State.Routes = fleet::route_table(Plan);
-  std::map<std::string, service_ptr> Services;
-  for (const fleet::service &Service : Plan->Services) {
-    service_ptr Kept = State.serviceOf(Service.Name);
-    if (Kept) {
-      Kept->Service = Service;
-      Kept->Placement.setWarmUpRate(Service.WarmUpRate);
-    } else {
-      Kept = std::make_shared<service_state>(
-          Service,
-          placement::placement_options{.DataCentre = State.Options.DataCentre,
-                                       .WarmUpRate = Service.WarmUpRate,
-                                       .Seed = State.Random()},
-          placement::placement_limiters{.Cold = State.ColdLimiter,
-                                        .Announced = State.AnnouncedLimiter},
-          State.Options.RetryBudget);
-    }
-    Services[Service.Name] = std::move(Kept);
-  }
-  State.Services = std::move(Services);
+  State.setServices(Plan->Services);
   std::map<std::string, traffic_splitter> TrafficSplitters;
   for (const fleet::route &Route : Plan->Routes) {
     if (Route.Shares.size() > 1)
@@ -57,7 +39,7 @@
   }
   if (!State.RelayOrder)
     return;
-  for (auto &[Name, Service] : State.Services)
+  for (const service_ptr &Service : State.servicesInUse())
     Service->Relays.setPeers(State.RelayOrder);
 }
 
@@ -71,8 +53,8 @@
                                      std::to_string(Target.StartedAtMs), Now);
     Keys.insert(connection_pool::keyOf(Target));
   }
-  for (auto &[Name, Service] : State.Services) {
-    Service->Placement.setTargets(ByService[Name], Now);
+  for (const service_ptr &Service : State.servicesInUse()) {
+    Service->Placement.setTargets(ByService[Service->Service.Name], Now);
     Service->Retries.setEntries(View.Entries.size());
   }
   State.Pool.keepOnly(Keys);
@@ -81,6 +63,43 @@
 
 } // namespace
 
+void gateway_state::setServices(const std::vector<fleet::service> &Described) {
+  std::map<std::string, service_ptr> Known;
+  for (service_ptr &Service : servicesInUse())
+    Known[Service->Service.Name] = std::move(Service);
+  Services.clear();
+  for (const fleet::service &Service : Described) {
+    service_ptr &Kept = Services[Service.Name];
+    if (auto Found = Known.extract(Service.Name))
+      Kept = std::move(Found.mapped());
+    if (Kept) {
+      Kept->Service = Service;
+      Kept->Placement.setWarmUpRate(Service.WarmUpRate);
+      continue;
+    }
+    Kept = std::make_shared<service_state>(
+        Service,
+        placement::placement_options{.DataCentre = Options.DataCentre,
+                                     .WarmUpRate = Service.WarmUpRate,
+                                     .Seed = Random()},
+        placement::placement_limiters{.Cold = ColdLimiter,
+                                      .Announced = AnnouncedLimiter},
+        Options.RetryBudget);
+  }
+  RetiredServices = {Known.begin(), Known.end()};
+}
+
+std::vector<service_ptr> gateway_state::servicesInUse() const {
+  std::vector<service_ptr> InUse;
+  for (const auto &[Name, Service] : Services)
+    InUse.push_back(Service);
+  for (const auto &[Name, Retired] : RetiredServices) {
+    if (service_ptr Service = Retired.lock())
+      InUse.push_back(std::move(Service));
+  }
+  return InUse;
+}
+
 void gateway_state::apply(const fleet_view &View) {
   if (View.Accounts != AccountSet) {
     AccountSet = View.Accounts;
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace fulmar::gateway {
 
@@ -103,6 +104,11 @@
   /// Replaces the view of the fleet by a newer one.
   void apply(const fleet_view &View);
   [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
+  /// Replaces the services by those of a plan. A service that requests use
+  /// keeps its state, also if an earlier plan dropped it.
+  void setServices(const std::vector<fleet::service> &Described);
+  /// Returns the services of the plan and the retired ones that are in use.
+  [[nodiscard]] std::vector<service_ptr> servicesInUse() const;
   /// True if the control instances or this one have found that the request
   /// crashes targets.
   [[nodiscard]] bool isQuarantined(std::uint64_t Fingerprint) const;
@@ -137,6 +143,9 @@
   /// See gateway::recordProof().
   std::optional<base::instant> ProvedAt;
   std::map<std::string, service_ptr> Services;
+  /// Services that a plan dropped while requests used them. No name is in
+  /// Services as well.
+  std::map<std::string, std::weak_ptr<service_state>> RetiredServices;
   /// By route name.
   std::map<std::string, traffic_splitter> TrafficSplitters;
   /// By route name.
--- /dev/null
+++ b/modules/gateway/tests/retiredservices_tests.cpp
@@ -0,0 +1,83 @@
+// Services that a plan drops while requests to them are under way, and that a
+// later plan may bring back.
+
+#include "fulmar/testing/property.h"
+#include "tests/gatewayfixture.h"
+
+using namespace fulmar;
+using namespace fulmar::gateway;
+using std::chrono::milliseconds;
+
+TEST_GROUP_BASE(RetiredServices, gateway_fixture) {
+  /// Targets that are no longer listed and still answer.
+  std::vector<std::unique_ptr<scripted_target>> Departed;
+
+  void applyPlan(std::vector<fleet::service> Services,
+                 std::vector<fleet::route> Routes) {
+    Plan.Services = std::move(Services);
+    Plan.Routes = std::move(Routes);
+    ++Plan.Version;
+    apply();
+  }
+  /// A plan without the service of the other tests.
+  void retireService() {
+    applyPlan({{.Name = "other", .HealthPath = "/healthz"}}, {});
+  }
+  void depart() {
+    for (auto &Target : Targets)
+      Departed.push_back(std::move(Target));
+    Targets.clear();
+    apply();
+  }
+  std::size_t departedRequestCount() const {
+    std::size_t Count = 0;
+    for (const auto &Target : Departed)
+      Count += Target->requests().size();
+    return Count;
+  }
+};
+
+// Guards against a request that is hedged to targets whose departure was
+// acknowledged after the plan had dropped their service.
+TEST(RetiredServices, targetsThatLeaveGetNoFurtherRequests) {
+  for (int Number = 0; Number < 3; ++Number)
+    addTarget([](const received_request &) { return target_action{}; });
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return requestCount() == 1; }));
+  retireService();
+  depart();
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+  STRCMP_CONTAINS("HTTP/1.1 504", Caller.Received.c_str());
+  CHECK_EQUAL(1U, departedRequestCount());
+}
+
+// Guards against a service whose requests in flight are forgotten, so that its
+// targets look idle, when a plan drops it and the next one brings it back.
+TEST(RetiredServices, aServiceThatIsBackHasItsTargetsAndTheirDepartures) {
+  for (int Number = 0; Number < 3; ++Number)
+    addTarget([](const received_request &) { return target_action{}; });
+  const fleet::routing_plan Before = Plan;
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return requestCount() == 1; }));
+  retireService();
+  applyPlan(Before.Services, Before.Routes);
+  depart();
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+  CHECK_EQUAL(1U, departedRequestCount());
+}
+
+TEST(RetiredServices, aRequestUnderWayIsServedByTargetsThatStay) {
+  for (int Number = 0; Number < 3; ++Number)
+    addTarget([](const received_request &Request) {
+      return target_action{.Bytes = scripted_target::ok(Request, "ran"),
+                           .ResponseDelay = milliseconds(100)};
+    });
+  test_caller Caller(Loop);
+  Caller.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return requestCount() == 1; }));
+  retireService();
+  CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+  STRCMP_CONTAINS("HTTP/1.1 200", Caller.Received.c_str());
+}
