Services that are dropped and brought back keep their spent retries

What targets saw, in a test: a service whose plan entry is dropped and brought back within the window of the retry budget got its retries granted twice.

Evidence: RetiredServices.aServiceThatIsBackHasSpentItsRetries saw 6 sends for 4 requests after the return before, 4 after.

Fix: retired services are kept for one window of the budget, and longer while something uses them.

--- a/modules/gateway/internal/applyview.cpp
+++ b/modules/gateway/internal/applyview.cpp
@@ -39,7 +39,7 @@
   }
   if (!State.RelayOrder)
     return;
-  for (const service_ptr &Service : State.servicesInUse())
+  for (const service_ptr &Service : State.knownServices())
     Service->Relays.setPeers(State.RelayOrder);
 }
 
@@ -53,7 +53,7 @@
                                      std::to_string(Target.StartedAtMs), Now);
     Keys.insert(connection_pool::keyOf(Target));
   }
-  for (const service_ptr &Service : State.servicesInUse()) {
+  for (const service_ptr &Service : State.knownServices()) {
     Service->Placement.setTargets(ByService[Service->Service.Name], Now);
     Service->Retries.setEntries(View.Entries.size());
   }
@@ -64,14 +64,16 @@
 } // namespace
 
 void gateway_state::setServices(const std::vector<fleet::service> &Described) {
-  std::map<std::string, service_ptr> Known;
-  for (service_ptr &Service : servicesInUse())
-    Known[Service->Service.Name] = std::move(Service);
+  const base::instant Now = Loop.now();
+  for (auto &[Name, Service] : Services)
+    RetiredServices[Name] = {.Service = std::move(Service),
+                             .RetriesCountUntil =
+                                 Now + Options.RetryBudget.Window};
   Services.clear();
   for (const fleet::service &Service : Described) {
     service_ptr &Kept = Services[Service.Name];
-    if (auto Found = Known.extract(Service.Name))
-      Kept = std::move(Found.mapped());
+    if (auto Found = RetiredServices.extract(Service.Name))
+      Kept = std::move(Found.mapped().Service);
     if (Kept) {
       Kept->Service = Service;
       Kept->Placement.setWarmUpRate(Service.WarmUpRate);
@@ -86,18 +88,23 @@
                                       .Announced = AnnouncedLimiter},
         Options.RetryBudget);
   }
-  RetiredServices = {Known.begin(), Known.end()};
 }
 
-std::vector<service_ptr> gateway_state::servicesInUse() const {
-  std::vector<service_ptr> InUse;
+void gateway_state::dropRetiredServices() {
+  const base::instant Now = Loop.now();
+  std::erase_if(RetiredServices, [Now](const auto &Retired) {
+    return Retired.second.Service.use_count() == 1 &&
+           Now >= Retired.second.RetriesCountUntil;
+  });
+}
+
+std::vector<service_ptr> gateway_state::knownServices() const {
+  std::vector<service_ptr> Known;
   for (const auto &[Name, Service] : Services)
-    InUse.push_back(Service);
-  for (const auto &[Name, Retired] : RetiredServices) {
-    if (service_ptr Service = Retired.lock())
-      InUse.push_back(std::move(Service));
-  }
-  return InUse;
+    Known.push_back(Service);
+  for (const auto &[Name, Retired] : RetiredServices)
+    Known.push_back(Retired.Service);
+  return Known;
 }
 
 void gateway_state::apply(const fleet_view &View) {
@@ -109,6 +116,7 @@
         {{"accounts", std::to_string(AccountSet->Accounts.size())},
          {"required", AccountSet->Required ? "yes" : "no"}});
   }
+  dropRetiredServices();
   applyPlan(*this, View.Plan);
   ColdLimiter.setEntries(View.Entries);
   AnnouncedLimiter.setEntries(View.Entries);
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -97,6 +97,13 @@
   double Position;
 };
 
+/// A service that a plan has dropped. It is kept while requests use it, and for
+/// as long as retries that it has spent count against a later plan's.
+struct retired_service {
+  service_ptr Service;
+  base::instant RetriesCountUntil{};
+};
+
 struct gateway_state {
   gateway_state(eventloop::loop &OwningLoop, gateway_options InitialOptions,
                 telemetry::metrics &Registry);
@@ -104,11 +111,13 @@
   /// Replaces the view of the fleet by a newer one.
   void apply(const fleet_view &View);
   [[nodiscard]] service_ptr serviceOf(const std::string &Name) const;
-  /// Replaces the services by those of a plan. A service that requests use
-  /// keeps its state, also if an earlier plan dropped it.
+  /// Replaces the services by those of a plan. A service keeps its state, also
+  /// if an earlier plan dropped it a short time ago.
   void setServices(const std::vector<fleet::service> &Described);
-  /// Returns the services of the plan and the retired ones that are in use.
-  [[nodiscard]] std::vector<service_ptr> servicesInUse() const;
+  /// Forgets retired services that nothing needs any more.
+  void dropRetiredServices();
+  /// Returns the services of the plan and the retired ones.
+  [[nodiscard]] std::vector<service_ptr> knownServices() const;
   /// True if the control instances or this one have found that the request
   /// crashes targets.
   [[nodiscard]] bool isQuarantined(std::uint64_t Fingerprint) const;
@@ -143,9 +152,8 @@
   /// See gateway::recordProof().
   std::optional<base::instant> ProvedAt;
   std::map<std::string, service_ptr> Services;
-  /// Services that a plan dropped while requests used them. No name is in
-  /// Services as well.
-  std::map<std::string, std::weak_ptr<service_state>> RetiredServices;
+  /// By name; none is in Services as well.
+  std::map<std::string, retired_service> RetiredServices;
   /// By route name.
   std::map<std::string, traffic_splitter> TrafficSplitters;
   /// By route name.
--- a/modules/gateway/tests/gatewayfixture.h
+++ b/modules/gateway/tests/gatewayfixture.h
@@ -141,7 +141,9 @@
     apply();
   }
 
-  void apply() {
+  void apply() { Gateway.apply(currentView()); }
+
+  fleet_view currentView() const {
     fleet_view View{.Serial = 1,
                     .Plan = std::make_shared<fleet::routing_plan>(Plan),
                     .Entries = {"e"},
@@ -154,7 +156,7 @@
                               .Address = Target->address(),
                               .Slots = 4,
                               .StartedAtMs = 1});
-    Gateway.apply(View);
+    return View;
   }
 
   template <typename Condition>
--- a/modules/gateway/tests/retiredservices_tests.cpp
+++ b/modules/gateway/tests/retiredservices_tests.cpp
@@ -81,3 +81,46 @@
   CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
   STRCMP_CONTAINS("HTTP/1.1 200", Caller.Received.c_str());
 }
+
+// Guards against a plan that drops a service and one that brings it back, which
+// together grant its retries twice within one window.
+TEST(RetiredServices, aServiceThatIsBackHasSpentItsRetries) {
+  const std::string Address = "127.0.0.1:18561";
+  class gateway Frugal(Loop,
+                       {.ListenAddress = Address,
+                        .HeaderNames = testHeaderNames(),
+                        .InstanceId = "e",
+                        .DataCentre = "pos",
+                        .RetryBudget = {.Ratio = 0, .Slack = 4}},
+                       Metrics);
+  CHECK_TRUE(Frugal.start().has_value());
+  for (int Number = 0; Number < 2; ++Number)
+    addTarget([](const received_request &) {
+      return target_action{
+          .Bytes = "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"};
+    });
+  const auto FailedSends = [&] {
+    const std::size_t Before = requestCount();
+    for (int Number = 0; Number < 4; ++Number) {
+      test_caller Caller(Loop, true, Address);
+      Caller.send(request("GET", "/read/x"));
+      CHECK_TRUE(runUntil([&Caller] { return !Caller.Received.empty(); }));
+    }
+    return requestCount() - Before;
+  };
+  const fleet::routing_plan Before = Plan;
+  Frugal.apply(currentView());
+  // The budget spends half of the slack.
+  const std::size_t First = FailedSends();
+  CHECK_EQUAL(6U, First);
+  const std::size_t Second = FailedSends();
+  CHECK_EQUAL(4U, Second);
+  // Requests that have ended no longer hold the service.
+  runUntil([] { return false; }, std::chrono::seconds(2));
+  retireService();
+  Frugal.apply(currentView());
+  applyPlan(Before.Services, Before.Routes);
+  Frugal.apply(currentView());
+  const std::size_t Returned = FailedSends();
+  CHECK_EQUAL(4U, Returned);
+}
