Requests behind a long response are refused late in a planned stop

Cause: whether the connection is kept was decided with the head of the streamed response, before the stop. Ruled out: idle connections (closed after 0.3 s) and other responses (they say Connection: close).

Fix: a request that begins on a reused connection after the gateway has ceased to accept connections is answered 503 at once and not run. Closing the connection instead would leave a request that crosses the close without an answer.

--- a/modules/gateway/internal/callersession.cpp
+++ b/modules/gateway/internal/callersession.cpp
@@ -72,6 +72,7 @@
   Parser->header_limit(
       static_cast<std::uint32_t>(Limits.MaxHeaderBytes + OwnHeaders));
   Parser->body_limit(Limits.MaxBodyBytes);
+  TooLateToServe = Reused && State.Stopping && !State.Acceptor->is_open();
   LimitsVersion = State.Routes.plan() ? State.Routes.plan()->Version : 0;
   RequestBegun = true;
 }
@@ -157,7 +158,8 @@
       .Target = std::string(Message.target()),
       .Fields = std::move(Message.base()),
       .Body = std::make_shared<const std::string>(std::move(Message.body())),
-      .ArrivedAt = HeadDoneAt};
+      .ArrivedAt = HeadDoneAt,
+      .TooLateToServe = TooLateToServe};
   if (Peer == session_peer::Entry) {
     Request.Relay =
         parseRelayRequest(headerOf(Request.Fields, RelayRequestHeader));
@@ -299,6 +301,7 @@
     Socket.shutdown(tcp::socket::shutdown_send, Ignored);
     return close();
   }
+  Reused = true;
   resetParser();
   parse();
   read();
--- a/modules/gateway/internal/callersession.h
+++ b/modules/gateway/internal/callersession.h
@@ -87,6 +87,11 @@
   bool Writing = false;
   bool Closed = false;
   bool KeepAlive = true;
+  /// The connection has carried a request before the current one.
+  bool Reused = false;
+  /// The current request began on a reused connection after the stopping
+  /// gateway had ceased to accept: it might not finish in the grace period.
+  bool TooLateToServe = false;
   bool HeadOnly = false;
   /// The streamed response uses chunked transfer encoding.
   bool Chunked = false;
--- a/modules/gateway/internal/exchange.cpp
+++ b/modules/gateway/internal/exchange.cpp
@@ -67,7 +67,7 @@
 }
 
 void exchange::begin() {
-  if (Request.Relay && State.Stopping) {
+  if (Request.TooLateToServe || (Request.Relay && State.Stopping)) {
     TryElsewhere = true;
     return fail({base::error_kind::Stopping, "the instance is stopping"});
   }
--- a/modules/gateway/internal/exchange.h
+++ b/modules/gateway/internal/exchange.h
@@ -30,6 +30,8 @@
   base::instant ArrivedAt{};
   /// Set if another entry has passed the request on.
   std::optional<relay_request> Relay;
+  /// The gateway is stopping and might end before the request does.
+  bool TooLateToServe = false;
 };
 
 struct caller_response {
--- a/modules/gateway/tests/scriptedtarget.cpp
+++ b/modules/gateway/tests/scriptedtarget.cpp
@@ -32,8 +32,11 @@
   }
 
   void answerLate(const std::string &Body) {
-    const auto Bytes = std::make_shared<std::string>(
-        scripted_target::ok(Requests->back(), Body));
+    sendLate(scripted_target::ok(Requests->back(), Body));
+  }
+
+  void sendLate(std::string Sent) {
+    const auto Bytes = std::make_shared<std::string>(std::move(Sent));
     asio::async_write(Socket, asio::buffer(*Bytes),
                       [Self = shared_from_this(),
                        Bytes](error_code /*Failed*/, std::size_t /*Count*/) {});
@@ -143,6 +146,11 @@
     Connection->answerLate(Body);
 }
 
+void scripted_target::sendLate(std::string Bytes) {
+  if (const auto Connection = LatestConnection->lock())
+    Connection->sendLate(std::move(Bytes));
+}
+
 void scripted_target::stopListening() {
   error_code Ignored;
   Acceptor.close(Ignored);
--- a/modules/gateway/tests/scriptedtarget.h
+++ b/modules/gateway/tests/scriptedtarget.h
@@ -60,6 +60,8 @@
   }
   /// Responds to the latest request, which the script left unanswered.
   void answerLate(const std::string &Body);
+  /// Sends further bytes on the connection of the latest request.
+  void sendLate(std::string Bytes);
   /// Number of bytes written of endless responses.
   [[nodiscard]] std::size_t endlessBytes() const { return *EndlessBytes; }
   /// Number of endless responses whose connection the peer has closed.
