Retired services learn what their targets say in responses

What targets saw, in a test: a target that said in a response that it leaves got a hedge of another request, because the plan had dropped their service.

--- a/modules/gateway/internal/gateway.cpp
+++ b/modules/gateway/internal/gateway.cpp
@@ -200,14 +200,9 @@
 void gateway_state::applyBackpressure(const observed_response &Response) {
   const placement::target_backpressure Backpressure =
       parseBackpressure(Response.Fields, Response.Status, Options.HeaderNames);
-  const bool NothingToApply =
-      Backpressure == placement::target_backpressure{} &&
-      std::none_of(Services.begin(), Services.end(), [](const auto &Entry) {
-        return Entry.second->Placement.anyAnnouncedLimit();
-      });
-  if (NothingToApply)
+  if (Backpressure == placement::target_backpressure{} && !anyAnnouncedLimit())
     return;
-  for (const auto &[Name, Service] : Services) {
+  for (const service_ptr &Service : knownServices()) {
     const fleet::target_report *Target = Service->Placement.find(
         connection_pool::targetIdOf(Response.ConnectionKey));
     if (Target == nullptr ||
@@ -239,6 +234,18 @@
   }
 }
 
+bool gateway_state::anyAnnouncedLimit() const {
+  return std::any_of(Services.begin(), Services.end(),
+                     [](const auto &Entry) {
+                       return Entry.second->Placement.anyAnnouncedLimit();
+                     }) ||
+         std::any_of(
+             RetiredServices.begin(), RetiredServices.end(),
+             [](const auto &Entry) {
+               return Entry.second.Service->Placement.anyAnnouncedLimit();
+             });
+}
+
 service_ptr gateway_state::serviceOf(const std::string &Name) const {
   const auto Found = Services.find(Name);
   return Found == Services.end() ? nullptr : Found->second;
--- a/modules/gateway/internal/gatewaystate.h
+++ b/modules/gateway/internal/gatewaystate.h
@@ -118,6 +118,8 @@
   void dropRetiredServices();
   /// Returns the services of the plan and the retired ones.
   [[nodiscard]] std::vector<service_ptr> knownServices() const;
+  /// True if a target of a known service has named a limit.
+  [[nodiscard]] bool anyAnnouncedLimit() const;
   /// True if the control instances or this one have found that the request
   /// crashes targets.
   [[nodiscard]] bool isQuarantined(std::uint64_t Fingerprint) const;
--- a/modules/gateway/tests/retiredservices_tests.cpp
+++ b/modules/gateway/tests/retiredservices_tests.cpp
@@ -82,6 +82,31 @@
   STRCMP_CONTAINS("HTTP/1.1 200", Caller.Received.c_str());
 }
 
+// Guards against a target that says that it is leaving in a response of a
+// service that the plan has dropped, and gets another request.
+TEST(RetiredServices, aTargetThatSaysItLeavesGetsNoFurtherRequests) {
+  for (int Number = 0; Number < 2; ++Number)
+    addTarget([](const received_request &Request) {
+      if (Request.Target == "/read/hangs")
+        return target_action{};
+      std::string Bytes = scripted_target::ok(Request, "ran");
+      Bytes.insert(Bytes.find("T-Signature"), "T-Leaving: 1\r\n");
+      return target_action{.Bytes = Bytes, .ResponseDelay = milliseconds(100)};
+    });
+  test_caller Answered(Loop);
+  Answered.send(request("GET", "/read/x"));
+  CHECK_TRUE(runUntil([this] { return requestCount() == 1; }));
+  test_caller Hangs(Loop);
+  Hangs.send(request("GET", "/read/hangs"));
+  CHECK_TRUE(runUntil([this] { return requestCount() == 2; }));
+  // The second target was idle.
+  CHECK_EQUAL(1U, Targets[0]->requests().size());
+  retireService();
+  CHECK_TRUE(runUntil([&Answered] { return !Answered.Received.empty(); }));
+  CHECK_TRUE(runUntil([&Hangs] { return !Hangs.Received.empty(); }));
+  CHECK_EQUAL(2U, requestCount());
+}
+
 // Guards against a plan that drops a service and one that brings it back, which
 // together grant its retries twice within one window.
 TEST(RetiredServices, aServiceThatIsBackHasSpentItsRetries) {
