--- a/modules/controlnode/include/fulmar/controlnode/voterpolicy.h
+++ b/modules/controlnode/include/fulmar/controlnode/voterpolicy.h
@@ -37,6 +37,9 @@
   /// or of the ability to elect a leader. The default is the highest number of
   /// the described deployments.
   std::size_t ToleratedDiskLosses = 2;
+
+  friend auto operator<=>(const voter_policy_options &,
+                          const voter_policy_options &) = default;
 };
 
 class voter_policy {
@@ -76,8 +79,9 @@
   /// Returns the first silent voter if the reachable voters would tolerate more
   /// failures in a cluster that is reduced to \p Minimum voters at least.
   [[nodiscard]] std::optional<std::string>
-  uselessVoter(const consensus::configuration &Members, const std::string &Self,
-               std::size_t Minimum, base::instant Now) const;
+  removalCandidate(const consensus::configuration &Members,
+                   const std::string &Self, std::size_t Minimum,
+                   base::instant Now) const;
 
   voter_policy_options Options;
   std::map<std::string, base::instant> HeardAt;
--- a/modules/controlnode/internal/voterpolicy.cpp
+++ b/modules/controlnode/internal/voterpolicy.cpp
@@ -19,6 +19,7 @@
 std::size_t voter_policy::minimumVoters(std::size_t Voters) const {
   const std::size_t Losses =
       std::min(Options.ToleratedDiskLosses, survivableDiskLosses(Voters));
+  // The smallest number of voters of which the rest is a majority.
   return 2 * Losses + 1;
 }
 
@@ -52,9 +53,9 @@
 }
 
 std::optional<std::string>
-voter_policy::uselessVoter(const consensus::configuration &Members,
-                           const std::string &Self, std::size_t Minimum,
-                           base::instant Now) const {
+voter_policy::removalCandidate(const consensus::configuration &Members,
+                               const std::string &Self, std::size_t Minimum,
+                               base::instant Now) const {
   if (!Members.Formed || !Members.Learners.empty())
     return std::nullopt;
   const auto &Voters = Members.Voters;
@@ -77,8 +78,8 @@
 std::optional<voter_change>
 voter_policy::voterToRemove(const consensus::configuration &Members,
                             const std::string &Self, base::instant Now) const {
-  const auto Found =
-      uselessVoter(Members, Self, minimumVoters(Members.Voters.size()), Now);
+  const auto Found = removalCandidate(
+      Members, Self, minimumVoters(Members.Voters.size()), Now);
   if (!Found)
     return std::nullopt;
   return voter_change{voter_change::kind::Remove, *Found};
@@ -90,7 +91,7 @@
                                 base::instant Now) const {
   if (voterToRemove(Members, Self, Now))
     return std::nullopt;
-  return uselessVoter(Members, Self, 1, Now);
+  return removalCandidate(Members, Self, 1, Now);
 }
 
 } // namespace fulmar::controlnode
--- a/modules/gateway/internal/callersession.h
+++ b/modules/gateway/internal/callersession.h
@@ -54,6 +54,7 @@
   void onParseError(error_code Failed);
   void onRequest();
   void respond(caller_response Response);
+  /// Rejects a request that exceeds a limit and logs whose plan's limit it is.
   void rejectTooLarge(unsigned Status, std::string_view Error);
   void reject(unsigned Status, std::string_view Error);
   /// Writes \p Head and \p Body, then calls \p Written.
