--- a/review/standins-3/harness.cpp
+++ b/review/standins-3/harness.cpp
@@ -192,8 +192,9 @@
   connection Link;
   if (!Link.open(To, LimitMs))
     return std::nullopt;
-  std::string Request = Method + " " + Target +
-                        " HTTP/1.1\r\nHost: " + To.text() + "\r\n" + Headers;
+  std::string Request = Method + " " + Target + " HTTP/1.1\r\n" + Headers;
+  if (Headers.rfind("Host:", 0) != 0)
+    Request += "Host: " + To.text() + "\r\n";
   if (Method == "POST")
     Request += "Content-Type: application/json\r\nContent-Length: " +
                std::to_string(Body.size()) + "\r\n";
