--- a/review/standins-3/harness.cpp
+++ b/review/standins-3/harness.cpp
@@ -292,8 +292,9 @@
 }
 
 deployment::deployment(std::size_t ControlCount, std::size_t EntryCount,
-                       std::vector<std::string> ZoneNames)
-    : Zones(std::move(ZoneNames)) {
+                       std::vector<std::string> ZoneNames,
+                       long EntryMemoryMb)
+    : Zones(std::move(ZoneNames)), EntryMemory(EntryMemoryMb) {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   if (::mkdtemp(Pattern.data()) == nullptr)
@@ -389,7 +390,8 @@
       << "\n[entry]\nlisten = " << frontOf(Index).text()
       << "\nrelay_listen = " << Ip << ":" << RelayPort
       << "\nreadiness = " << readinessOf(Index).text()
-      << "\nmemory_mb = 217\nprobes_per_s = 60\nretry_ratio = 0.2\n"
+      << "\nmemory_mb = " << EntryMemory
+      << "\nprobes_per_s = 60\nretry_ratio = 0.2\n"
          "retry_slack = 80\nretry_window_s = 10\ngrace_s = 6\n"
          "[metrics]\nlisten = "
       << Ip << ":" << MetricsPort << "\n[log]\nfile = stdout\n";
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -115,7 +115,8 @@
 class deployment {
 public:
   deployment(std::size_t ControlCount, std::size_t EntryCount,
-             std::vector<std::string> Zones);
+             std::vector<std::string> Zones,
+             long EntryMemoryMb = 217);
   ~deployment();
   deployment(const deployment &) = delete;
   deployment &operator=(const deployment &) = delete;
@@ -144,6 +145,7 @@
   std::string Folder;
   std::string Prefix;
   std::vector<std::string> Zones;
+  long EntryMemory;
   std::vector<std::unique_ptr<program>> Controls;
   std::vector<std::unique_ptr<program>> Entries;
 };
