--- a/review/standins-3/harness.cpp
+++ b/review/standins-3/harness.cpp
@@ -292,8 +292,7 @@
 }
 
 deployment::deployment(std::size_t ControlCount, std::size_t EntryCount,
-                       std::vector<std::string> ZoneNames,
-                       long EntryMemoryMb)
+                       std::vector<std::string> ZoneNames, long EntryMemoryMb)
     : Zones(std::move(ZoneNames)), EntryMemory(EntryMemoryMb) {
   std::string Pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -115,8 +115,7 @@
 class deployment {
 public:
   deployment(std::size_t ControlCount, std::size_t EntryCount,
-             std::vector<std::string> Zones,
-             long EntryMemoryMb = 217);
+             std::vector<std::string> Zones, long EntryMemoryMb = 217);
   ~deployment();
   deployment(const deployment &) = delete;
   deployment &operator=(const deployment &) = delete;
--- a/review/standins-3/upstream.h
+++ b/review/standins-3/upstream.h
@@ -26,6 +26,7 @@
 struct run_entry {
   std::string Attempt;
   std::int64_t AtMs = 0;
+  std::string Body;
 };
 
 class upstream {
@@ -162,7 +163,7 @@
     ++Running;
     {
       const std::scoped_lock Held(Lock);
-      Runs.push_back({Attempt, nowMs()});
+      Runs.push_back({Attempt, nowMs(), Request->Body});
     }
     Record.line("run " + Attempt + " at " + Settings.Id);
     sleepMs(Settings.WorkMs);
