--- a/modules/fleet/include/fulmar/fleet/targetreport.h
+++ b/modules/fleet/include/fulmar/fleet/targetreport.h
@@ -21,6 +21,9 @@
   Left,
 };
 
+/// For log lines.
+const char *nameOf(target_phase Phase);
+
 struct target_report {
   std::string Id;
   std::string Service;
--- a/modules/fleet/internal/targetreport.cpp
+++ b/modules/fleet/internal/targetreport.cpp
@@ -8,6 +8,18 @@
 
 namespace fulmar::fleet {
 
+const char *nameOf(target_phase Phase) {
+  switch (Phase) {
+  case target_phase::Serving:
+    return "serving";
+  case target_phase::Draining:
+    return "draining";
+  case target_phase::Left:
+    return "left";
+  }
+  return "unknown";
+}
+
 bool isNewer(const target_report &Report, const target_report &Held) {
   if (Report.StartedAtMs != Held.StartedAtMs)
     return Report.StartedAtMs > Held.StartedAtMs;
