A draining target whose lease ends is recorded as left

A target that was acknowledged as draining and then was silent for 20 s was removed from the table, and with it that it drains. An earlier report of the run that arrived afterwards put it back into service.

The leader proposes the last report of the run in place of the expiry, which every build applies in the same way. Entries see no difference: both remove the target. Targets that do not drain expire as before and return with their next report.

Before: Liveness.aDrainingTargetWhoseLeaseEndsHasLeft failed (the report with sequence 4 was published after 'draining' with sequence 5). After: it passes, with all of Liveness.

--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -2,6 +2,8 @@
 
 #include "fulmar/controlnode/livenesstable.h"
 
+#include "fulmar/controlstate/targetdeparture.h"
+
 #include <algorithm>
 
 namespace fulmar::controlnode {
@@ -72,8 +74,7 @@
         std::max(LeasesSince,
                  Heard == TargetHeardAt.end() ? LeasesSince : Heard->second);
     if (Now - Last > TargetLease && !wasProposedRecently("target/" + Id, Now))
-      Due.emplace_back(controlstate::target_expired_command{
-          Id, Held.StartedAtMs, Held.Sequence});
+      Due.push_back(controlstate::expiryCommand(Held));
   }
   const auto &Members = State.members().all();
   for (const auto &[Id, Entry] : Entries) {
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -184,6 +184,26 @@
   CHECK_EQUAL(1U, Table.dueCommands(State, at(10'500)).size());
 }
 
+// Guards against a target that said it drains, falls silent for longer than
+// its lease, and is put back into service by an earlier report.
+TEST(Liveness, aDrainingTargetWhoseLeaseEndsHasLeft) {
+  using fleet::target_phase;
+  const auto Report = [](target_phase Phase, std::uint64_t Sequence) {
+    return controlstate::target_report_command{{.Id = "t",
+                                                .Address = "a:1",
+                                                .Phase = Phase,
+                                                .StartedAtMs = 1,
+                                                .Sequence = Sequence}};
+  };
+  apply(Report(target_phase::Draining, 5));
+  Table.becomeLeader(at(0));
+  for (controlstate::command_body &Due : Table.dueCommands(State, at(20'500)))
+    apply(std::move(Due));
+  CHECK_FALSE(State.published().value("target/t").has_value());
+  apply(Report(target_phase::Serving, 4));
+  CHECK_FALSE(State.published().value("target/t").has_value());
+}
+
 // Guards against a leader that wakes from a long stall and expires the targets
 // and entries whose reports it has not read.
 TEST(Liveness, aStalledLeaderGrantsAllLeasesAnew) {
--- a/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
+++ b/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
@@ -1,5 +1,5 @@
-// Chooses the command that records a departure, so that its acknowledgement
-// holds whatever arrives later.
+// Chooses the commands that take targets out of service, so that what was
+// acknowledged to a target holds whatever arrives later.
 
 #ifndef FULMAR_CONTROLSTATE_TARGETDEPARTURE_H
 #define FULMAR_CONTROLSTATE_TARGETDEPARTURE_H
@@ -14,6 +14,10 @@
 /// apply such a report in the same way.
 command_body departureCommand(const target_left_command &Departure);
 
+/// Returns the command for a target whose lease has ended. A target that drains
+/// is recorded as left: an earlier report must not put it back into service.
+command_body expiryCommand(const fleet::target_report &Held);
+
 } // namespace fulmar::controlstate
 
 #endif // FULMAR_CONTROLSTATE_TARGETDEPARTURE_H
--- a/modules/controlstate/internal/targetdeparture.cpp
+++ b/modules/controlstate/internal/targetdeparture.cpp
@@ -4,15 +4,30 @@
 
 namespace fulmar::controlstate {
 
+namespace {
+
+/// Without an address: a target that has left owns none, and the departure
+/// counts even if a later start has taken the address over.
+target_report_command lastReport(const std::string &Id,
+                                 std::int64_t StartedAtMs) {
+  return {{.Id = Id,
+           .Phase = fleet::target_phase::Left,
+           .StartedAtMs = StartedAtMs}};
+}
+
+} // namespace
+
 command_body departureCommand(const target_left_command &Departure) {
   // Only the log's order tells which run is the current one.
   if (Departure.StartedAtMs == 0)
     return Departure;
-  // Without an address: a target that has left owns none, and the departure
-  // counts even if a later start has taken the address over.
-  return target_report_command{{.Id = Departure.Id,
-                                .Phase = fleet::target_phase::Left,
-                                .StartedAtMs = Departure.StartedAtMs}};
+  return lastReport(Departure.Id, Departure.StartedAtMs);
+}
+
+command_body expiryCommand(const fleet::target_report &Held) {
+  if (Held.Phase == fleet::target_phase::Draining)
+    return lastReport(Held.Id, Held.StartedAtMs);
+  return target_expired_command{Held.Id, Held.StartedAtMs, Held.Sequence};
 }
 
 } // namespace fulmar::controlstate
