A drain is kept although a later start owns the address

The table refuses reports of a run whose address a later start has taken over. A report that the run drains was acknowledged all the same and left no trace; once the later start had left, an earlier report put the run into service. It takes starts whose clocks disagree, as one address serves one run at a time.

Such a drain is proposed as the last report of its run, as a departure is. Reports that do not drain are dropped as before: nothing was acknowledged that could be broken.

Before: Departures.aDrainIsKeptAfterALaterStartHasTakenOverTheAddress failed (published). After: it passes, with all tests of controlstate and the operator's port.

--- a/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
+++ b/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
@@ -5,6 +5,9 @@
 #define FULMAR_CONTROLSTATE_TARGETDEPARTURE_H
 
 #include "fulmar/controlstate/commands.h"
+#include "fulmar/controlstate/targettable.h"
+
+#include <optional>
 
 namespace fulmar::controlstate {
 
@@ -14,6 +17,12 @@
 /// apply such a report in the same way.
 command_body departureCommand(const target_left_command &Departure);
 
+/// Returns the command that records \p Report; empty if the table already holds
+/// what it says. The table refuses a report of a run whose address a later
+/// start has taken over; if that run drains, it is recorded as left.
+std::optional<command_body> reportCommand(const target_table &Targets,
+                                          const fleet::target_report &Report);
+
 /// Returns the command for a target whose lease has ended. A target that drains
 /// is recorded as left: an earlier report must not put it back into service.
 command_body expiryCommand(const fleet::target_report &Held);
--- a/modules/controlstate/include/fulmar/controlstate/targettable.h
+++ b/modules/controlstate/include/fulmar/controlstate/targettable.h
@@ -40,6 +40,9 @@
   [[nodiscard]] const std::map<std::string, fleet::target_report> &all() const {
     return Targets;
   }
+  /// True if \p Report says something that the table does not hold, whoever
+  /// owns its address.
+  [[nodiscard]] bool isNews(const fleet::target_report &Report) const;
   /// True if update() would change the table.
   [[nodiscard]] bool wouldChange(const fleet::target_report &Report) const;
 
--- a/modules/controlstate/internal/targetdeparture.cpp
+++ b/modules/controlstate/internal/targetdeparture.cpp
@@ -24,6 +24,15 @@
   return lastReport(Departure.Id, Departure.StartedAtMs);
 }
 
+std::optional<command_body> reportCommand(const target_table &Targets,
+                                          const fleet::target_report &Report) {
+  if (Targets.wouldChange(Report))
+    return target_report_command{Report};
+  if (Targets.isNews(Report) && Report.Phase == fleet::target_phase::Draining)
+    return lastReport(Report.Id, Report.StartedAtMs);
+  return std::nullopt;
+}
+
 command_body expiryCommand(const fleet::target_report &Held) {
   if (Held.Phase == fleet::target_phase::Draining)
     return lastReport(Held.Id, Held.StartedAtMs);
--- a/modules/controlstate/internal/targettable.cpp
+++ b/modules/controlstate/internal/targettable.cpp
@@ -25,10 +25,14 @@
   return find(Found->second);
 }
 
-bool target_table::wouldChange(const target_report &Report) const {
+bool target_table::isNews(const target_report &Report) const {
   const target_report *Stored = find(Report.Id);
-  if (Stored != nullptr &&
-      (!isNewer(Report, *Stored) || !isSignificantUpdate(Report, *Stored)))
+  return Stored == nullptr ||
+         (isNewer(Report, *Stored) && isSignificantUpdate(Report, *Stored));
+}
+
+bool target_table::wouldChange(const target_report &Report) const {
+  if (!isNews(Report))
     return false;
   const target_report *Other = otherTargetAt(Report);
   return Other == nullptr || Other->StartedAtMs <= Report.StartedAtMs;
