A departure that names no run and finds none is not acknowledged

Where none is held, because its first report is late or its lease has ended, the departure was acknowledged and changed nothing: a late report of the run put it into service.

Ruled out: recording it under the wall clock's time, as clocks differ by seconds and a later run that seems older would be kept out of service for good. The reply of the log decides, not the table of the receiving instance, which may lag; one that lags can refuse a repeated departure, which is then sent again.

Before: Departures.withoutARunAreRefusedWhileTheTargetIsUnknown failed (acknowledged). After: it passes, with all tests of the platform folder.

--- a/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
+++ b/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
@@ -5,6 +5,7 @@
 #define FULMAR_CONTROLSTATE_TARGETDEPARTURE_H
 
 #include "fulmar/controlstate/commands.h"
+#include "fulmar/controlstate/replies.h"
 #include "fulmar/controlstate/targettable.h"
 
 #include <optional>
@@ -17,6 +18,12 @@
 /// apply such a report in the same way.
 command_body departureCommand(const target_left_command &Departure);
 
+/// Returns whether a departure that was applied with \p Reply is kept. One that
+/// names no run and found none is not: nothing tells which reports are late.
+bool isDepartureKept(const target_table &Targets,
+                     const target_left_command &Departure,
+                     const target_reply &Reply);
+
 /// Returns the command that records \p Report; empty if the table already holds
 /// what it says. The table refuses a report of a run whose address a later
 /// start has taken over; if that run drains, it is recorded as left.
--- a/modules/controlstate/internal/targetdeparture.cpp
+++ b/modules/controlstate/internal/targetdeparture.cpp
@@ -24,6 +24,15 @@
   return lastReport(Departure.Id, Departure.StartedAtMs);
 }
 
+bool isDepartureKept(const target_table &Targets,
+                     const target_left_command &Departure,
+                     const target_reply &Reply) {
+  if (Reply.Changed || Departure.StartedAtMs != 0)
+    return true;
+  const fleet::target_report *Held = Targets.find(Departure.Id);
+  return Held != nullptr && Held->Phase == fleet::target_phase::Left;
+}
+
 std::optional<command_body> reportCommand(const target_table &Targets,
                                           const fleet::target_report &Report) {
   if (Targets.wouldChange(Report))
