Departures of long runs are kept while many later starts have left

The table keeps 8,192 targets that have left and drops the one that started first. Once 8,192 targets that started later have left, as after a roll-out at the size that we build towards, a target that served for weeks loses its departure at once, and a report that is seconds late puts it back into service.

Ruled out: a bound in time in the table itself, which needs all instances to apply it from the same position of the log.

Not covered: a departure of a target that nobody holds while the table is full, and a `born` in the future, which keeps its place.

Before: Departures.ofALongRunAreKeptUntilItsLeaseEnds failed (serving after its departure), with and without a run named. After: it passes, with all tests of controlstate and the platform folder.

--- a/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
+++ b/modules/controlstate/include/fulmar/controlstate/targetdeparture.h
@@ -15,8 +15,10 @@
 /// Returns the command that records \p Departure. A departure that names its
 /// run is recorded as the last report of this run, which is also kept if the
 /// table holds nothing of the target or an earlier run of it. Earlier builds
-/// apply such a report in the same way.
-command_body departureCommand(const target_left_command &Departure);
+/// apply such a report in the same way. A run whose departure the table would
+/// drop at once drains instead until its lease ends.
+command_body departureCommand(const target_table &Targets,
+                              const target_left_command &Departure);
 
 /// Returns whether a departure that was applied with \p Reply is kept. One that
 /// names no run and found none is not: nothing tells which reports are late.
--- a/modules/controlstate/include/fulmar/controlstate/targettable.h
+++ b/modules/controlstate/include/fulmar/controlstate/targettable.h
@@ -43,6 +43,10 @@
   /// True if \p Report says something that the table does not hold, whoever
   /// owns its address.
   [[nodiscard]] bool isNews(const fleet::target_report &Report) const;
+  /// True if the record of \p Serving would be dropped as soon as it left,
+  /// because targets that started later fill the room for those that left.
+  [[nodiscard]] bool
+  wouldDropDeparture(const fleet::target_report &Serving) const;
   /// True if update() would change the table.
   [[nodiscard]] bool wouldChange(const fleet::target_report &Report) const;
 
--- a/modules/controlstate/internal/targetdeparture.cpp
+++ b/modules/controlstate/internal/targetdeparture.cpp
@@ -2,6 +2,9 @@
 
 #include "fulmar/controlstate/targetdeparture.h"
 
+#include <limits>
+#include <utility>
+
 namespace fulmar::controlstate {
 
 namespace {
@@ -15,9 +18,24 @@
            .StartedAtMs = StartedAtMs}};
 }
 
+/// No report of the run is newer than this one, except its last.
+target_report_command finalDrain(fleet::target_report Held) {
+  Held.Phase = fleet::target_phase::Draining;
+  Held.Sequence = std::numeric_limits<std::uint64_t>::max();
+  return {std::move(Held)};
+}
+
 } // namespace
 
-command_body departureCommand(const target_left_command &Departure) {
+command_body departureCommand(const target_table &Targets,
+                              const target_left_command &Departure) {
+  const fleet::target_report *Held = Targets.find(Departure.Id);
+  const bool EndsHeldRun = Held != nullptr &&
+                           Held->Phase != fleet::target_phase::Left &&
+                           (Departure.StartedAtMs == 0 ||
+                            Departure.StartedAtMs == Held->StartedAtMs);
+  if (EndsHeldRun && Targets.wouldDropDeparture(*Held))
+    return finalDrain(*Held);
   // Only the log's order tells which run is the current one.
   if (Departure.StartedAtMs == 0)
     return Departure;
@@ -30,7 +48,7 @@
   if (Reply.Changed || Departure.StartedAtMs != 0)
     return true;
   const fleet::target_report *Held = Targets.find(Departure.Id);
-  return Held != nullptr && Held->Phase == fleet::target_phase::Left;
+  return Held != nullptr && Held->Phase != fleet::target_phase::Serving;
 }
 
 std::optional<command_body> reportCommand(const target_table &Targets,
--- a/modules/controlstate/internal/targettable.cpp
+++ b/modules/controlstate/internal/targettable.cpp
@@ -6,6 +6,7 @@
 #include "fulmar/fleet/fleetpacking.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fulmar::controlstate {
 
@@ -88,6 +89,19 @@
   return true;
 }
 
+bool target_table::wouldDropDeparture(const target_report &Serving) const {
+  if (LeftCount < MaxLeftTargets)
+    return false;
+  // The order of evictOldestLeft().
+  return std::none_of(Targets.begin(), Targets.end(),
+                      [&Serving](const auto &Entry) {
+                        const target_report &Held = Entry.second;
+                        return Held.Phase == target_phase::Left &&
+                               std::tie(Held.StartedAtMs, Held.Id) <
+                                   std::tie(Serving.StartedAtMs, Serving.Id);
+                      });
+}
+
 void target_table::evictOldestLeft() {
   while (LeftCount > MaxLeftTargets) {
     auto Oldest = Targets.end();
