A leader does not collect the ids of the targets that report to it

Each report added an id to a list that only followers take, to pass it on to the leader.

The leader's maintenance drops what was collected; twice a second, so it stays small. A leader that steps down passes on what it hears from then on, and the next leader grants all leases anew.

Before: Liveness.aLeaderDoesNotCollectItsReports failed (ids of 100,000 reports were still held). After: it passes, with all of Liveness.

--- a/modules/controlnode/include/fulmar/controlnode/livenesstable.h
+++ b/modules/controlnode/include/fulmar/controlnode/livenesstable.h
@@ -41,10 +41,12 @@
   /// Records that a stall of this instance ended.
   void recordStall(base::instant EndedAt) { LeasesSince = EndedAt; }
 
-  /// Returns the targets that reported to this instance since the last call.
+  /// Returns the targets that reported to this instance since the last call of
+  /// this or of dueCommands().
   std::vector<std::string> takeReportedTargets();
 
-  /// Returns the commands that the leader should propose now.
+  /// Returns the commands that the leader should propose now. A leader passes
+  /// no reports on, so those collected are dropped.
   [[nodiscard]] std::vector<controlstate::command_body>
   dueCommands(const controlstate::control_state &State, base::instant Now);
 
@@ -63,6 +65,7 @@
                                          base::instant Now);
 
   std::map<std::string, base::instant> TargetHeardAt;
+  /// To be passed on to the leader.
   std::vector<std::string> ReportedTargets;
   std::map<std::string, entry_record> Entries;
   /// Time at which a command was last proposed, by its kind and id.
--- a/modules/controlnode/internal/livenesstable.cpp
+++ b/modules/controlnode/internal/livenesstable.cpp
@@ -62,6 +62,7 @@
 std::vector<controlstate::command_body>
 liveness_table::dueCommands(const controlstate::control_state &State,
                             base::instant Now) {
+  ReportedTargets.clear();
   std::erase_if(ProposedAt, [Now](const auto &Proposal) {
     return Now - Proposal.second >= ProposalInterval;
   });
--- a/modules/controlnode/tests/decisions_tests.cpp
+++ b/modules/controlnode/tests/decisions_tests.cpp
@@ -152,6 +152,16 @@
   CHECK_TRUE(Table.dueCommands(State, at(30'000)).empty());
 }
 
+// Guards against a leader that fills its memory with the ids of targets that
+// reported to it: only other instances pass them on.
+TEST(Liveness, aLeaderDoesNotCollectItsReports) {
+  constexpr int Reports = 100'000;
+  for (int Number = 0; Number < Reports; ++Number)
+    Table.recordTargetReport("t" + std::to_string(Number % 100), at(Number));
+  CHECK_TRUE(Table.dueCommands(State, at(Reports)).empty());
+  CHECK_TRUE(Table.takeReportedTargets().empty());
+}
+
 TEST(Liveness, onlyReadyEntriesWithARecentStatusAreListed) {
   Table.recordEntryStatus(entryNotice(false), at(0));
   CHECK_TRUE(Table.readyEntries(at(0)).empty());
